--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -107,6 +107,10 @@
 			"control", "Spread the catalog and order what runners hold",
 			"Example: zinniaroute control --settings control.jsonc", &controlCommand{out: out},
 		},
+		{
+			"gateway", "Serve on the users' platform: answer callers and order runners",
+			"Example: zinniaroute gateway --settings gateway.jsonc", &gatewayCommand{out: out},
+		},
 		{
 			"demo", "Run a sample deployment with stand-ins in this one process",
 			"Example: zinniaroute demo --deployment association", &demoCommand{out: out, failures: failures},
--- /dev/null
+++ b/cli/gateway.go
@@ -0,0 +1,87 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"runtime/debug"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/zinniaroute/zinniaroute/eventlog"
+	"github.com/zinniaroute/zinniaroute/platform"
+	"github.com/zinniaroute/zinniaroute/settings"
+	"github.com/zinniaroute/zinniaroute/transport/clock"
+	"github.com/zinniaroute/zinniaroute/transport/gateway"
+	"github.com/zinniaroute/zinniaroute/transport/group"
+	"github.com/zinniaroute/zinniaroute/transport/httpserve"
+)
+
+// memoryShare is the part of the VM's memory up to which the runtime lets the heap grow before it collects harder.
+const memoryShare = 0.6
+
+type gatewayCommand struct {
+	Settings string `long:"settings" short:"s" description:"Settings file; by default the one that the platform names"`
+	Check    bool   `long:"check-settings" description:"Check the settings, print the effective values and exit"`
+	out      io.Writer
+}
+
+// Execute runs the gateway until it is asked to stop.
+func (c *gatewayCommand) Execute([]string) error {
+	path := c.Settings
+	if path == "" {
+		path = platform.SettingsPath()
+	}
+	if path == "" {
+		return exitWith(ExitUsage, errors.New("no settings: give --settings, or run on the platform"))
+	}
+	s, err := readGateway(path)
+	if err != nil {
+		return exitWith(ExitFindings, err)
+	}
+	if c.Check {
+		return printJSON(c.out, s)
+	}
+	return runGateway(s)
+}
+
+func readGateway(path string) (settings.Gateway, error) {
+	data, err := settings.ReadFile(path)
+	if err != nil {
+		return settings.Gateway{}, err
+	}
+	s, findings := settings.ParseGateway(path, data)
+	return s, findings.Err()
+}
+
+func runGateway(s settings.Gateway) error {
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
+	signals, stop := stopSignals()
+	defer stop()
+	listeners, err := httpserve.ListenAll([]netip.AddrPort{s.Callers, s.Readiness})
+	if err != nil {
+		return err
+	}
+	g, err := group.New(context.Background())
+	if err != nil {
+		return err
+	}
+	log := eventlog.New(os.Stdout, logrus.InfoLevel, "gateway/"+s.Name, s.Domain)
+	process := gateway.New(clock.Now(), s, log)
+	process.Start(g, listeners[0], listeners[1])
+	waitForStop(signals, g, process.StopRequested())
+	cut := process.Drain(g.Context())
+	log.Emit(eventlog.ProcessStopped, "gateway", cut)
+	closeAll(listeners)
+	return nil
+}
+
+// closeAll closes listeners at the end of the process, where a failure changes nothing.
+func closeAll(listeners []net.Listener) {
+	for _, listener := range listeners {
+		_ = listener.Close()
+	}
+}
--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -90,15 +90,72 @@
 		[]string{"request", "name", "from", "to", "tokens"},
 		"Check the runner that broke.",
 	}
+	ConfigurationInForce = Event{
+		204, logrus.InfoLevel, "configuration in force",
+		[]string{"version", "revision", "routes"},
+		"Nothing.",
+	}
+	ConfigurationUnreadable = Event{
+		205, logrus.ErrorLevel, "configuration cannot be read; the last one stays in force",
+		[]string{"revision", "error"},
+		"Check what the operator wrote at this revision.",
+	}
+	StoreLost = Event{
+		404, logrus.WarnLevel, "the store does not answer; serving goes on with what is known",
+		[]string{"error"},
+		"Check the store and the network to it.",
+	}
+	StoreBack = Event{
+		405, logrus.InfoLevel, "the store answers again",
+		[]string{"revision"},
+		"Nothing.",
+	}
+	RunnerListed = Event{
+		406, logrus.InfoLevel, "a runner's entry changed",
+		[]string{"runner", "change", "service", "revision"},
+		"Nothing.",
+	}
+	RunnerUnreadable = Event{
+		407, logrus.WarnLevel, "a runner's entry cannot be read and names no runner",
+		[]string{"runner", "revision", "error"},
+		"Check who writes entries.",
+	}
+	NoRoute = Event{
+		503, logrus.InfoLevel, "no route for a request",
+		[]string{"request", "host", "path", "version"},
+		"Check the configuration of this version.",
+	}
+	NoEndpoint = Event{
+		504, logrus.InfoLevel, "no endpoint for a request",
+		[]string{"request", "reason", "runners", "listAgeMs"},
+		"Check what the service's runners hold.",
+	}
+	EndpointFailed = Event{
+		505, logrus.WarnLevel, "a call to an endpoint failed",
+		[]string{"request", "runner", "sent", "error"},
+		"Check the runner if it repeats.",
+	}
+	EndpointDeclined = Event{
+		506, logrus.InfoLevel, "an endpoint declined a request",
+		[]string{"request", "runner", "status", "unit"},
+		"Nothing; the request goes elsewhere within its budget.",
+	}
+	RequestEnded = Event{
+		507, logrus.InfoLevel, "request ended",
+		[]string{
+			"request", "route", "unit", "outcome", "status", "reason", "runner", "runs", "ms", "predictedMs", "version",
+		},
+		"See docs/OPERATIONS.md.",
+	}
 )
 
 // Catalogue lists every event by number.
 func Catalogue() []Event {
 	return []Event{
 		ProcessStarted, ProcessStopping, ProcessStopped,
-		CatalogInForce, CatalogUnreadable, CatalogPublished,
+		CatalogInForce, CatalogUnreadable, CatalogPublished, ConfigurationInForce, ConfigurationUnreadable,
 		LeaseChanged, OrderAnswered, UnitShort, IntentsFailed,
-		PeerUnreachable, RunnerChanged, ControlLost,
-		RequestFailed, StreamResumed,
+		PeerUnreachable, RunnerChanged, ControlLost, StoreLost, StoreBack, RunnerListed, RunnerUnreadable,
+		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined, RequestEnded,
 	}
 }
--- /dev/null
+++ b/state/dispatch/desk.go
@@ -0,0 +1,300 @@
+package dispatch
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/zinniaroute/zinniaroute/state/fleet"
+)
+
+const (
+	// prefillRate is the number of prompt tokens that a runner reads in a second; source: the users' sheets (38 a ms).
+	prefillRate = 38_000
+	// stepTime is the base time of a token; source: the users' sheets (4.4 to 5.2 ms).
+	stepTime = 5 * time.Millisecond
+	// runningCost is what each running request adds to the time to the first token of another.
+	runningCost = 400 * time.Microsecond
+	// adapterCost is the time of an order and of the load of an absent adapter; source: the sheets (5 to 10 ms), and
+	// the price of an order.
+	adapterCost = 60 * time.Millisecond
+	// crossDomain is the cost of leaving the failure domain: a round trip and the price of the bytes.
+	crossDomain = 4 * time.Millisecond
+	// failureCost is what a certain failure weighs as time.
+	failureCost = 4 * time.Second
+	// plainWork is the time that a plain endpoint is assumed to work on a request; source: the sheets (30 to 60 ms).
+	plainWork = 50 * time.Millisecond
+	// cacheMemory is the time for which a sent prompt is taken to be kept by its runner.
+	cacheMemory = 20 * time.Second
+	// fullPause is how long an endpoint without room is left alone.
+	fullPause = 100 * time.Millisecond
+	// silentPause is how long an endpoint that was not reached is left alone, doubled with each miss up to silentMax.
+	silentPause = 250 * time.Millisecond
+	silentMax   = 2 * time.Second
+	maxCached   = 4096
+)
+
+// Desk predicts the time at which endpoints begin to answer, from this VM's own sends and what others tell.
+type Desk struct {
+	domain string
+	loads  map[string]*load
+	// cached is when a chain of parts was last sent to a runner.
+	cached map[chainKey]time.Time
+}
+
+type chainKey struct {
+	runner string
+	chain  uint64
+}
+
+// NewDesk returns the desk of a VM in a failure domain.
+func NewDesk(domain string) *Desk {
+	return &Desk{
+		domain: domain,
+		loads:  make(map[string]*load),
+		cached: make(map[chainKey]time.Time),
+	}
+}
+
+func (d *Desk) load(runner string) *load {
+	l := d.loads[runner]
+	if l == nil {
+		l = &load{}
+		d.loads[runner] = l
+	}
+	return l
+}
+
+// Choice is the endpoint chosen for a request.
+type Choice struct {
+	Runner *fleet.Runner
+	// Wait is the predicted time to the first byte.
+	Wait time.Duration
+	// Absent tells that the runner holds the model but not the adapter that is asked for.
+	Absent bool
+	// Candidates is the number of endpoints that could be chosen.
+	Candidates int
+}
+
+// Choose returns the endpoint that begins to answer first, or false when none can.
+func (d *Desk) Choose(now time.Time, r *fleet.Request, runners []*fleet.Runner, excluded []string) (Choice, bool) {
+	var best Choice
+	bestCost := time.Duration(-1)
+	usable := d.usable(now, r, runners, excluded)
+	home := d.home(r, usable)
+	least := d.leastFailures(now, usable)
+	for _, runner := range usable {
+		l := d.load(runner.ID)
+		wait := d.wait(now, r, runner, l, runner.ID == home)
+		cost := wait + time.Duration((l.failureShare(now)-least)*float64(failureCost))
+		absent := r.Unit.Adapter != "" && !runner.Holdings.Has(r.Unit)
+		if absent {
+			cost += adapterCost
+			wait += adapterCost
+		}
+		if runner.Domain != d.domain {
+			cost += crossDomain
+		}
+		if bestCost < 0 || cost < bestCost {
+			best, bestCost = Choice{Runner: runner, Wait: wait, Absent: absent}, cost
+		}
+	}
+	best.Candidates = len(usable)
+	return best, best.Runner != nil
+}
+
+// usable returns the endpoints that hold what is asked for and are thought to answer.
+func (d *Desk) usable(now time.Time, r *fleet.Request, runners []*fleet.Runner, excluded []string) []*fleet.Runner {
+	var usable, doubtful []*fleet.Runner
+	for _, runner := range runners {
+		if runner.Leaving || slices.Contains(excluded, runner.ID) {
+			continue
+		}
+		if r.Unit.Model != "" && !runner.Holdings.Has(fleet.Unit{Model: r.Unit.Model}) {
+			continue
+		}
+		l := d.load(runner.ID)
+		if now.Before(l.silentUntil) || now.Before(l.fullUntil) {
+			doubtful = append(doubtful, runner)
+			continue
+		}
+		usable = append(usable, runner)
+	}
+	if len(usable) == 0 {
+		return doubtful
+	}
+	return usable
+}
+
+func (d *Desk) leastFailures(now time.Time, runners []*fleet.Runner) float64 {
+	least := 1.0
+	for _, runner := range runners {
+		least = min(least, d.load(runner.ID).failureShare(now))
+	}
+	return least
+}
+
+// wait predicts the time to the first byte of a request on a runner.
+func (d *Desk) wait(now time.Time, r *fleet.Request, runner *fleet.Runner, l *load, home bool) time.Duration {
+	running := l.running + l.others.Running
+	if r.Unit.Model == "" {
+		waiting := max(0, running+1-max(1, runner.Slots))
+		work := plainWork + plainWork*time.Duration(waiting)/time.Duration(max(1, runner.Slots))
+		return time.Duration(float64(work)*l.slow(now)) + time.Duration(running)*time.Millisecond
+	}
+	tokens := l.pending + l.others.Pending + d.unread(now, r, runner.ID, home)
+	wait := stepTime + time.Duration(tokens)*time.Second/prefillRate + time.Duration(running)*runningCost
+	return time.Duration(float64(wait) * l.slow(now))
+}
+
+// unread returns the prompt tokens of a request that a runner is thought not to keep.
+func (d *Desk) unread(now time.Time, r *fleet.Request, runner string, home bool) int {
+	if home {
+		return r.PromptTokens - r.SharedTokens()
+	}
+	kept := 0
+	for i, chain := range chains(r) {
+		if at, ok := d.cached[chainKey{runner, chain}]; !ok || now.Sub(at) > cacheMemory {
+			break
+		}
+		kept += r.Parts[i].Tokens
+	}
+	return max(0, r.PromptTokens-kept)
+}
+
+// chains returns a hash for each prefix of the shared parts, which a runner keeps by model and adapter.
+func chains(r *fleet.Request) []uint64 {
+	if len(r.Parts) < 2 {
+		return nil
+	}
+	hash := xxhash.Sum64String(r.Unit.String())
+	all := make([]uint64, 0, len(r.Parts)-1)
+	for _, part := range r.Parts[:len(r.Parts)-1] {
+		hash = mix(hash, part.ID)
+		all = append(all, hash)
+	}
+	return all
+}
+
+func mix(a, b uint64) uint64 {
+	var data [16]byte
+	binary.LittleEndian.PutUint64(data[:8], a)
+	binary.LittleEndian.PutUint64(data[8:], b)
+	return xxhash.Sum64(data[:])
+}
+
+// home returns the runner on which all VMs expect a request's shared parts, by rendezvous hashing.
+// Source: Thaler and Ravishankar, "A name-based mapping scheme for rendezvous", 1996.
+func (d *Desk) home(r *fleet.Request, runners []*fleet.Runner) string {
+	key := xxhash.Sum64String(r.Unit.String())
+	if all := chains(r); len(all) > 0 && r.Unit.Adapter == "" {
+		key = all[len(all)-1]
+	}
+	best, bestWeight := "", uint64(0)
+	for _, runner := range runners {
+		if weight := mix(key, xxhash.Sum64String(runner.ID)); best == "" || weight > bestWeight {
+			best, bestWeight = runner.ID, weight
+		}
+	}
+	return best
+}
+
+// Ticket is a request that was sent to an endpoint.
+type Ticket struct {
+	Runner  string
+	unread  int
+	sent    time.Time
+	wait    time.Duration
+	model   string
+	begun   bool
+	stopped bool
+}
+
+// Sent notes that a request goes to a runner.
+func (d *Desk) Sent(now time.Time, r *fleet.Request, choice Choice) *Ticket {
+	runner := choice.Runner.ID
+	t := &Ticket{Runner: runner, unread: d.unread(now, r, runner, false), sent: now, wait: choice.Wait, model: r.Unit.Model}
+	l := d.load(runner)
+	l.running++
+	l.pending += t.unread
+	if len(d.cached) > maxCached {
+		d.forget(now)
+	}
+	for _, chain := range chains(r) {
+		d.cached[chainKey{runner, chain}] = now
+	}
+	return t
+}
+
+func (d *Desk) forget(now time.Time) {
+	for key, at := range d.cached {
+		if now.Sub(at) > cacheMemory {
+			delete(d.cached, key)
+		}
+	}
+}
+
+// Began notes that an answer's first byte has come.
+func (d *Desk) Began(now time.Time, t *Ticket) {
+	if t.begun || t.stopped {
+		return
+	}
+	t.begun = true
+	l := d.load(t.Runner)
+	l.pending -= t.unread
+	l.misses = 0
+	l.measure(now, float64(now.Sub(t.sent))/float64(max(t.wait, 4*stepTime)))
+}
+
+// Ended notes what became of a request.
+func (d *Desk) Ended(now time.Time, t *Ticket, outcome Outcome) {
+	if t.stopped {
+		return
+	}
+	l := d.load(t.Runner)
+	if !t.begun {
+		l.pending -= t.unread
+	}
+	t.stopped = true
+	l.running--
+	switch outcome {
+	case Served:
+		l.note(now, false)
+	case Failed:
+		l.note(now, true)
+	case Declined:
+		l.fullUntil = now.Add(fullPause)
+	case Dropped:
+	}
+}
+
+// Unreached notes that no connection to an endpoint could be had.
+func (d *Desk) Unreached(now time.Time, t *Ticket) {
+	d.Ended(now, t, Dropped)
+	l := d.load(t.Runner)
+	l.misses++
+	l.silentUntil = now.Add(min(silentMax, silentPause<<min(l.misses-1, 4)))
+}
+
+// SetOthers takes in what the other VMs have sent to an endpoint.
+func (d *Desk) SetOthers(runner string, share Share) { d.load(runner).others = share }
+
+// Shares returns what this VM has sent to each endpoint and not seen finished.
+func (d *Desk) Shares() map[string]Share {
+	shares := make(map[string]Share)
+	for id, l := range d.loads {
+		if l.running > 0 {
+			shares[id] = Share{Running: l.running, Pending: max(0, l.pending)}
+		}
+	}
+	return shares
+}
+
+// Drop forgets an endpoint that is gone.
+func (d *Desk) Drop(runner string) {
+	if l := d.loads[runner]; l != nil && l.running == 0 {
+		delete(d.loads, runner)
+	}
+}
--- /dev/null
+++ b/state/routes/doc.go
@@ -0,0 +1,2 @@
+// Package routes holds one configuration of routes and services and finds the route of a request.
+package routes
--- /dev/null
+++ b/transport/gateway/callers.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/zinniaroute/zinniaroute/eventlog"
+	"github.com/zinniaroute/zinniaroute/platform"
+	"github.com/zinniaroute/zinniaroute/state/lifecycle"
+	"github.com/zinniaroute/zinniaroute/transport/clock"
+	"github.com/zinniaroute/zinniaroute/transport/group"
+	"github.com/zinniaroute/zinniaroute/transport/httpserve"
+)
+
+const (
+	statusOK          = 200
+	statusNotFound    = 404
+	statusFailed      = 502
+	statusUnavailable = 503
+	statusTimeout     = 504
+
+	// headerBytes and bodyBytes are above the limits of any configuration seen (16 KiB and 4 MiB).
+	headerBytes = 64 << 10
+	bodyBytes   = 16 << 20
+	// readTime bounds the arrival of a request's header and body.
+	readTime = 10 * time.Second
+	// noConfigurationRetry is when a caller may come back to a VM that has no configuration yet.
+	noConfigurationRetry = 500 * time.Millisecond
+	// defaultWait bounds a request whose caller and route name no time.
+	defaultWait = 60 * time.Second
+)
+
+func (g *Gateway) serveCallers(run *group.Group, listener net.Listener) {
+	bounds := httpserve.Bounds{HeaderBytes: headerBytes, BodyBytes: bodyBytes, ReadTimeout: readTime}
+	server := httpserve.NewServer(listener, bounds, false)
+	server.NoRoute(g.answer)
+	server.NoMethod(g.answer)
+	server.Start(run, "callers")
+}
+
+func (g *Gateway) serveReadiness(run *group.Group, listener net.Listener) {
+	server := httpserve.NewServer(listener, httpserve.DefaultBounds(), false)
+	server.GET(platform.ReadyPath, func(_ context.Context, c *app.RequestContext) {
+		status := statusUnavailable
+		if g.ready() {
+			status = statusOK
+		}
+		c.SetStatusCode(status)
+	})
+	server.Start(run, "readiness")
+}
+
+// answer serves one request of a caller.
+func (g *Gateway) answer(ctx context.Context, c *app.RequestContext) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	now := clock.Now()
+	if g.stopping.Load() {
+		c.SetConnectionClose()
+	}
+	request, wait := platform.ReadRequest(&c.Request)
+	request.Arrived = now
+	table := g.table.Load()
+	if table == nil {
+		g.refuse(c, request.ID, statusUnavailable, noConfigurationRetry)
+		return
+	}
+	route := table.Match(string(c.Request.Header.Host()), requestPath(c))
+	if route == nil {
+		g.log.Emit(eventlog.NoRoute, request.ID, string(c.Request.Header.Host()), requestPath(c), table.Version)
+		g.refuse(c, request.ID, statusNotFound, 0)
+		return
+	}
+	request.Kind, request.Rank, request.Target = route.Kind, route.Rank, route.Target
+	limit := defaultWait
+	if route.Timeout > 0 {
+		limit = route.Timeout
+	}
+	if wait > 0 {
+		limit = min(limit, wait)
+	}
+	request.Deadline = now.Add(limit)
+	x := &exchange{
+		gateway: g, context: c, route: route, request: request, version: table.Version,
+		service: route.Pick(g.draw()),
+		stated:  wait,
+	}
+	g.mu.Lock()
+	budget := g.budget(x.service)
+	budget.Arrived(now)
+	g.mu.Unlock()
+	x.machine = lifecycle.New(
+		lifecycle.Limits{Repeatable: route.Repeatable(), MaxRuns: route.MaxRuns},
+		lockedBudget{gateway: g, budget: budget},
+	)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	x.run(ctx)
+}
+
+// requestPath returns the path of a request as the caller sent it, without its query.
+func requestPath(c *app.RequestContext) string {
+	uri := string(c.Request.Header.RequestURI())
+	for i := range len(uri) {
+		if uri[i] == '?' {
+			return uri[:i]
+		}
+	}
+	return uri
+}
+
+func (g *Gateway) draw() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.random.Float64()
+}
+
+// refuse answers that a request has not run and never will.
+func (g *Gateway) refuse(c *app.RequestContext, attempt string, status int, retryAfter time.Duration) {
+	c.SetStatusCode(status)
+	platform.SetAttempt(&c.Response.Header, attempt)
+	if retryAfter > 0 {
+		platform.SetRetryAfter(&c.Response.Header, retryAfter)
+	}
+}
+
+// lockedBudget is a budget under the gateway's lock.
+type lockedBudget struct {
+	gateway *Gateway
+	budget  *lifecycle.SharedBudget
+}
+
+// Take uses up one repeat.
+func (b lockedBudget) Take(now time.Time) bool {
+	b.gateway.mu.Lock()
+	defer b.gateway.mu.Unlock()
+	return b.budget.Take(now)
+}
--- /dev/null
+++ b/transport/gateway/exchange.go
@@ -0,0 +1,261 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+
+	"github.com/zinniaroute/zinniaroute/eventlog"
+	"github.com/zinniaroute/zinniaroute/platform"
+	"github.com/zinniaroute/zinniaroute/state/dispatch"
+	"github.com/zinniaroute/zinniaroute/state/fleet"
+	"github.com/zinniaroute/zinniaroute/state/lifecycle"
+	"github.com/zinniaroute/zinniaroute/state/routes"
+	"github.com/zinniaroute/zinniaroute/transport/clock"
+	"github.com/zinniaroute/zinniaroute/transport/httpcall"
+)
+
+const (
+	maxAnswerBytes = 8 << 20
+	// serverError is the first status of an endpoint's own failures.
+	serverError = 500
+	// leftMargin is kept back from the time that a runner is given, so that its answer arrives in time.
+	leftMargin = 5 * time.Millisecond
+)
+
+// exchange carries one request through its machine.
+type exchange struct {
+	gateway *Gateway
+	context *app.RequestContext
+	route   *routes.Route
+	service string
+	request fleet.Request
+	machine *lifecycle.Machine
+	// version is that of the configuration that routed the request.
+	version uint64
+	// stated is the time that the caller said it would wait, zero when it did not say.
+	stated time.Duration
+
+	choice dispatch.Choice
+	ticket *dispatch.Ticket
+	call   *httpcall.Exchange
+	// body is a whole answer that has been read.
+	body  []byte
+	relay *relay
+	sent  time.Time
+}
+
+// run drives the machine until the request has its final answer.
+func (x *exchange) run(ctx context.Context) {
+	action := x.machine.Step(clock.Now(), lifecycle.Started{})
+	for {
+		switch action {
+		case lifecycle.Choose:
+			action = x.choose(ctx)
+		case lifecycle.Send, lifecycle.Resume:
+			action = x.send(ctx)
+		case lifecycle.Relay:
+			action = x.pass(ctx)
+		default:
+			x.finish(ctx, action)
+			return
+		}
+	}
+}
+
+// step takes in an event unless the caller has left or the request's time is over.
+func (x *exchange) step(ctx context.Context, event lifecycle.Event) lifecycle.Action {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		event = lifecycle.Expired{}
+	case ctx.Err() != nil:
+		event = lifecycle.CallerLeft{}
+	}
+	return x.machine.Step(clock.Now(), event)
+}
+
+func (x *exchange) choose(ctx context.Context) lifecycle.Action {
+	choice, refusal := x.gateway.place(ctx, x)
+	if refusal != nil {
+		return x.step(ctx, *refusal)
+	}
+	x.choice = choice
+	return x.step(ctx, lifecycle.Chosen{Endpoint: choice.Runner.ID})
+}
+
+func (x *exchange) send(ctx context.Context) lifecycle.Action {
+	now := clock.Now()
+	g := x.gateway
+	g.mu.Lock()
+	x.ticket = g.desk.Sent(now, &x.request, x.choice)
+	g.mu.Unlock()
+	x.sent = now
+	send := platform.Send{
+		Runner:  x.choice.Runner.ID,
+		Left:    x.request.Deadline.Sub(now) - leftMargin,
+		Urgency: x.urgency(),
+	}
+	if x.relay != nil {
+		send.ResumeAfter = x.relay.lastEvent
+	}
+	request := platform.NewRequest(&x.context.Request, send)
+	options := httpcall.Options{
+		Accept: func(header *protocol.ResponseHeader) bool { return platform.Answers(header, x.request.ID) },
+	}
+	call, err := g.runners.Start(ctx, x.choice.Runner.Address, request, options)
+	if err != nil {
+		return x.failedCall(ctx, err)
+	}
+	x.call = call
+	return x.judge(ctx)
+}
+
+// urgency returns the order in which a runner admits the request; lower goes first.
+func (x *exchange) urgency() int { return min(9, 3+x.request.Rank) }
+
+func (x *exchange) failedCall(ctx context.Context, err error) lifecycle.Action {
+	now := clock.Now()
+	var failed *httpcall.Error
+	sent := !errors.As(err, &failed) || failed.Sent()
+	x.gateway.mu.Lock()
+	switch {
+	case ctx.Err() != nil:
+		x.gateway.desk.Ended(now, x.ticket, dispatch.Dropped)
+	case sent:
+		x.gateway.desk.Ended(now, x.ticket, dispatch.Failed)
+	default:
+		x.gateway.desk.Unreached(now, x.ticket)
+	}
+	x.gateway.mu.Unlock()
+	x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, sent, err)
+	if sent {
+		x.lost(ctx)
+		return x.step(ctx, lifecycle.Lost{})
+	}
+	return x.step(ctx, lifecycle.Unreached{})
+}
+
+// lost makes sure that a request that was sent counts as possibly run, also when its time has ended.
+func (x *exchange) lost(ctx context.Context) {
+	if ctx.Err() != nil {
+		x.machine.NoteSent()
+	}
+}
+
+func (x *exchange) judge(ctx context.Context) lifecycle.Action {
+	header := &x.call.Response.Header
+	verdict := platform.ReadVerdict(header)
+	if verdict.NotRun {
+		return x.declined(ctx, verdict)
+	}
+	if x.route.Kind == routes.Stream && header.StatusCode() == statusOK {
+		x.began()
+		return x.machine.Step(clock.Now(), lifecycle.Answered{})
+	}
+	body, err := x.call.ReadAll(maxAnswerBytes)
+	if err != nil {
+		return x.failedCall(ctx, err)
+	}
+	x.body = body
+	failure := header.StatusCode() >= serverError
+	outcome := dispatch.Served
+	if failure {
+		outcome = dispatch.Failed
+	}
+	x.began()
+	x.ended(outcome)
+	return x.machine.Step(clock.Now(), lifecycle.Answered{Failure: failure})
+}
+
+func (x *exchange) declined(ctx context.Context, verdict platform.Verdict) lifecycle.Action {
+	_, err := x.call.ReadAll(maxAnswerBytes)
+	if err != nil {
+		x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, true, err)
+	}
+	x.ended(dispatch.Declined)
+	status := x.call.Response.StatusCode()
+	x.gateway.log.Emit(eventlog.EndpointDeclined, x.request.ID, x.choice.Runner.ID, status, x.request.Unit.String())
+	return x.step(ctx, lifecycle.Declined{Misdirected: verdict.Misdirected})
+}
+
+func (x *exchange) began() {
+	x.gateway.mu.Lock()
+	defer x.gateway.mu.Unlock()
+	x.gateway.desk.Began(clock.Now(), x.ticket)
+}
+
+func (x *exchange) ended(outcome dispatch.Outcome) {
+	x.gateway.mu.Lock()
+	defer x.gateway.mu.Unlock()
+	x.gateway.desk.Ended(clock.Now(), x.ticket, outcome)
+}
+
+// pass delivers the arrived answer to the caller.
+func (x *exchange) pass(ctx context.Context) lifecycle.Action {
+	response := &x.context.Response
+	if x.route.Kind == routes.Stream && x.call.Response.StatusCode() == statusOK {
+		return x.passEvents(ctx)
+	}
+	platform.CopyHead(&x.call.Response.Header, &response.Header)
+	response.SetBodyRaw(x.body)
+	return x.machine.Step(clock.Now(), lifecycle.Completed{})
+}
+
+func (x *exchange) passEvents(ctx context.Context) lifecycle.Action {
+	if x.relay == nil {
+		platform.CopyHead(&x.call.Response.Header, &x.context.Response.Header)
+		x.relay = newRelay(x.context)
+	}
+	err := x.relay.copy(x.call.Body())
+	switch {
+	case err == nil:
+		x.call.Done()
+		x.ended(dispatch.Served)
+		return x.machine.Step(clock.Now(), lifecycle.Completed{})
+	case errors.Is(err, errCallerGone) || ctx.Err() != nil:
+		x.call.Abort()
+		x.ended(dispatch.Dropped)
+		if ctx.Err() == nil {
+			return x.machine.Step(clock.Now(), lifecycle.CallerLeft{})
+		}
+		return x.step(ctx, lifecycle.Completed{})
+	default:
+		x.call.Abort()
+		x.ended(dispatch.Failed)
+		x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, true, err)
+		return x.step(ctx, lifecycle.Broken{Resumable: x.route.Resumable})
+	}
+}
+
+// finish gives the caller the final answer that the machine decided on.
+func (x *exchange) finish(ctx context.Context, action lifecycle.Action) {
+	g := x.gateway
+	status := 0
+	switch action {
+	case lifecycle.Refuse:
+		status = statusUnavailable
+		g.refuse(x.context, x.request.ID, status, max(x.machine.RetryAfter(), time.Millisecond))
+	case lifecycle.Fail:
+		status = statusFailed
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			status = statusTimeout
+		}
+		g.refuse(x.context, x.request.ID, status, 0)
+	case lifecycle.Cut:
+		if err := x.context.GetConn().Close(); err != nil && !errors.Is(err, io.EOF) {
+			g.log.Emit(eventlog.EndpointFailed, x.request.ID, "caller", true, err)
+		}
+	default:
+		status = x.context.Response.StatusCode()
+	}
+	now := clock.Now()
+	g.log.Emit(
+		eventlog.RequestEnded, x.request.ID, x.route.Name, x.request.Unit.String(), string(action), status,
+		x.machine.Reason(), x.machine.Endpoint(), x.machine.Runs(), now.Sub(x.request.Arrived).Milliseconds(),
+		x.choice.Wait.Milliseconds(), x.version,
+	)
+}
--- /dev/null
+++ b/transport/gateway/gateway.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zinniaroute/zinniaroute/eventlog"
+	"github.com/zinniaroute/zinniaroute/platform"
+	"github.com/zinniaroute/zinniaroute/settings"
+	"github.com/zinniaroute/zinniaroute/state/dispatch"
+	"github.com/zinniaroute/zinniaroute/state/fleet"
+	"github.com/zinniaroute/zinniaroute/state/lifecycle"
+	"github.com/zinniaroute/zinniaroute/state/routes"
+	"github.com/zinniaroute/zinniaroute/transport/clock"
+	"github.com/zinniaroute/zinniaroute/transport/group"
+	"github.com/zinniaroute/zinniaroute/transport/httpcall"
+)
+
+const (
+	// runnerDial bounds the opening of a connection to a runner, which takes some milliseconds when it is well.
+	runnerDial = 300 * time.Millisecond
+	drainPoll  = 20 * time.Millisecond
+	// leaveRotation is the time in which the platform notices that the VM is not ready: two checks, one a second.
+	leaveRotation = 2500 * time.Millisecond
+)
+
+// Gateway is the state that the duties of a VM share.
+type Gateway struct {
+	settings settings.Gateway
+	log      *eventlog.Log
+	runners  *httpcall.Client
+	engines  *platform.Engines
+	store    *platform.Store
+
+	table atomic.Pointer[routes.Table]
+
+	mu        sync.Mutex
+	directory *fleet.Directory
+	desk      *dispatch.Desk
+	budgets   map[string]*lifecycle.SharedBudget
+	random    *rand.Rand
+	// changed is closed and replaced when the directory has changed.
+	changed chan struct{}
+	// heard is when the store last told that the directory is complete.
+	heard time.Time
+
+	inFlight  atomic.Int64
+	stopping  atomic.Bool
+	stopOnce  sync.Once
+	stopAsked chan struct{}
+}
+
+// New returns a gateway that is not started yet.
+func New(now time.Time, s settings.Gateway, log *eventlog.Log) *Gateway {
+	runners := httpcall.NewClient(runnerDial)
+	return &Gateway{
+		settings:  s,
+		log:       log,
+		runners:   runners,
+		engines:   platform.NewEngines(runners),
+		store:     platform.NewStore(s.Store),
+		directory: fleet.NewDirectory(),
+		desk:      dispatch.NewDesk(s.Domain),
+		budgets:   make(map[string]*lifecycle.SharedBudget),
+		random:    rand.New(rand.NewPCG(uint64(now.UnixNano()), 0)),
+		changed:   make(chan struct{}),
+		stopAsked: make(chan struct{}),
+	}
+}
+
+// Start runs the gateway's duties in the group on open listeners.
+func (g *Gateway) Start(run *group.Group, callers, readiness net.Listener) {
+	g.serveCallers(run, callers)
+	g.serveReadiness(run, readiness)
+	run.Start("follow store", g.follow)
+	g.log.Emit(eventlog.ProcessStarted, "gateway", callers.Addr().String(), readiness.Addr().String())
+}
+
+// Drain stops the gateway as planned: the platform sees that it is not ready, then the last requests are finished. It
+// returns the number of requests that were still running when the time was up.
+func (g *Gateway) Drain(ctx context.Context) int64 {
+	g.stopping.Store(true)
+	began := clock.Now()
+	g.log.Emit(eventlog.ProcessStopping, "gateway")
+	ctx, cancel := context.WithTimeout(ctx, g.settings.StopLimit())
+	defer cancel()
+	for ctx.Err() == nil && (g.inFlight.Load() > 0 || clock.Now().Sub(began) < leaveRotation) {
+		group.Sleep(ctx, drainPoll)
+	}
+	return g.inFlight.Load()
+}
+
+// RequestStop begins a planned stop.
+func (g *Gateway) RequestStop() { g.stopOnce.Do(func() { close(g.stopAsked) }) }
+
+// StopRequested returns a channel that is closed when a planned stop is asked for.
+func (g *Gateway) StopRequested() <-chan struct{} { return g.stopAsked }
+
+// ready reports whether the VM takes callers: it must know a configuration.
+func (g *Gateway) ready() bool { return g.table.Load() != nil && !g.stopping.Load() }
+
+// announce wakes those who wait for a change of the directory; the lock must be held.
+func (g *Gateway) announce() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// budget returns the repeats of a service; the lock must be held.
+func (g *Gateway) budget(service string) *lifecycle.SharedBudget {
+	b := g.budgets[service]
+	if b == nil {
+		bounds := g.settings.Bounds
+		b = lifecycle.NewSharedBudget(lifecycle.BudgetBounds{
+			Ratio: bounds.RepeatRatio, Slack: bounds.RepeatSlack, Window: bounds.RepeatWindow.Duration,
+		})
+		b.SetMembers(g.members())
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// assumedMembers is the number of VMs that share budgets while the real one is not known.
+const assumedMembers = 9
+
+func (g *Gateway) members() int { return assumedMembers }
--- /dev/null
+++ b/transport/gateway/relay.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"github.com/pkg/errors"
+)
+
+const (
+	// pieceBytes is read at once; the connection's buffer is larger.
+	pieceBytes = 4 << 10
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+	// writeTime bounds the writing of events to a caller that reads slowly.
+	writeTime = 3 * time.Second
+)
+
+var (
+	errCallerGone   = errors.New("the caller is gone")
+	errEventTooLong = errors.New("an event of the stream is too long")
+	errCutEvent     = errors.New("the stream ended within an event")
+)
+
+type chunkWriter interface {
+	io.Writer
+	Flush() error
+}
+
+// relay passes whole events of a stream on to the caller and remembers the last one.
+type relay struct {
+	context *app.RequestContext
+	writer  chunkWriter
+	// lastEvent is the identifier of the last event that was passed on.
+	lastEvent string
+	lastID    int64
+	events    int
+}
+
+func newRelay(c *app.RequestContext) *relay {
+	writer := resp.NewChunkedBodyWriter(&c.Response, c.GetWriter())
+	c.Response.HijackWriter(writer)
+	return &relay{context: c, writer: writer, lastID: -1}
+}
+
+// copy passes events on until the stream ends; events that an earlier run delivered are left out.
+func (r *relay) copy(body io.Reader) error {
+	var pending []byte
+	piece := make([]byte, pieceBytes)
+	for {
+		n, err := body.Read(piece)
+		pending = append(pending, piece[:n]...)
+		end := bytes.LastIndex(pending, []byte("\n\n"))
+		if end >= 0 {
+			if passErr := r.pass(pending[:end+2]); passErr != nil {
+				return passErr
+			}
+			pending = append(pending[:0], pending[end+2:]...)
+		}
+		switch {
+		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) > 0:
+			return errCutEvent
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		case len(pending) > maxEventBytes:
+			return errEventTooLong
+		}
+	}
+}
+
+// pass writes whole events to the caller at once.
+func (r *relay) pass(data []byte) error {
+	fresh := make([]byte, 0, len(data))
+	for len(data) > 0 {
+		end := bytes.Index(data, []byte("\n\n")) + 2
+		if r.isNew(data[:end]) {
+			fresh = append(fresh, data[:end]...)
+		}
+		data = data[end:]
+	}
+	if len(fresh) == 0 {
+		return nil
+	}
+	if err := r.context.GetConn().SetWriteTimeout(writeTime); err != nil {
+		return errCallerGone
+	}
+	if _, err := r.writer.Write(fresh); err != nil {
+		return errCallerGone
+	}
+	if err := r.writer.Flush(); err != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
+// isNew reports whether an event has not been passed on yet, and remembers it.
+func (r *relay) isNew(event []byte) bool {
+	text, named := eventID(event)
+	if !named {
+		return true
+	}
+	if id, err := strconv.ParseInt(text, 10, 64); err == nil {
+		if id <= r.lastID {
+			return false
+		}
+		r.lastID = id
+	}
+	r.lastEvent = text
+	r.events++
+	return true
+}
+
+// eventID returns the identifier line of an event.
+func eventID(event []byte) (string, bool) {
+	for len(event) > 0 {
+		line, rest, _ := bytes.Cut(event, []byte("\n"))
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value)), true
+		}
+		event = rest
+	}
+	return "", false
+}
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -5,29 +5,36 @@
 	"io"
 	"net"
 	"net/netip"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"github.com/panjf2000/ants/v2"
 	"github.com/pkg/errors"
 )
 
 const (
 	maxIdlePerAddress = 1024
 	maxIdleTime       = 20 * time.Second
+	// idleMargin covers the way of a request to an endpoint that is about to close an idle connection.
+	idleMargin = 500 * time.Millisecond
 	// unprobedIdleTime is the idle time up to which a connection is used without a look at its other end.
 	unprobedIdleTime = 50 * time.Millisecond
 	// probeTime is the wait for the news that the other end has closed.
 	probeTime = 200 * time.Microsecond
+	// parallelBody is the request size from which writing and reading go on side by side; smaller ones fit the windows.
+	parallelBody = 8 << 10
+	// identityBody is the library's content length of a body that ends with its connection.
+	identityBody = -2
 )
 
 // Client keeps idle connections by address.
 type Client struct {
-	dialer      network.Dialer
 	dialTimeout time.Duration
 	mu          sync.Mutex
 	idle        map[netip.AddrPort][]idleConn
@@ -36,12 +43,13 @@
 type idleConn struct {
 	conn  network.Conn
 	since time.Time
+	// limit is the idle time after which the other end may close the connection.
+	limit time.Duration
 }
 
 // NewClient returns a client that gives up on a connection attempt after the dial timeout.
 func NewClient(dialTimeout time.Duration) *Client {
 	return &Client{
-		dialer:      standard.NewDialer(),
 		dialTimeout: dialTimeout,
 		idle:        make(map[netip.AddrPort][]idleConn),
 	}
@@ -53,6 +61,8 @@
 	Fresh bool
 	// MaxBody bounds the bytes of a response that are buffered at once; zero means no bound.
 	MaxBody int
+	// Accept tells whether a response answers this request; others are read and dropped. Nil accepts every response.
+	Accept func(header *protocol.ResponseHeader) bool
 }
 
 // Exchange is a call whose response header has arrived.
@@ -63,6 +73,12 @@
 	conn     network.Conn
 	stop     func() bool
 	ended    bool
+	// writing delivers the result of writing a long request.
+	writing chan error
+	// untilClose tells that the body ends with the connection.
+	untilClose bool
+	// fixed is a body of known length.
+	fixed *fixedBody
 }
 
 // Start sends a request and reads the response header; the context's end closes the connection.
@@ -77,7 +93,7 @@
 		return nil, &Error{Stage: StageDial, Cause: err}
 	}
 	if err := ctx.Err(); err != nil {
-		c.keep(address, conn)
+		c.keep(address, conn, maxIdleTime)
 		return nil, &Error{Stage: StageDial, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { closeConn(conn) })
@@ -99,15 +115,97 @@
 	if err := req.Write(request, e.conn); err != nil {
 		return &Error{Stage: StageWrite, Cause: err}
 	}
+	e.Response.SkipBody = request.Header.IsHead()
+	if len(request.Body()) > parallelBody {
+		return e.sendLong(options)
+	}
 	if err := e.conn.Flush(); err != nil {
 		return &Error{Stage: StageWrite, Cause: err}
 	}
-	e.Response.SkipBody = request.Header.IsHead()
-	err := resp.ReadHeaderBodyStream(e.Response, e.conn, options.MaxBody, func(bool) error { return nil })
-	if err != nil {
-		return &Error{Stage: StageHeader, Cause: err}
+	return e.readResponse(options)
+}
+
+// sendLong reads the response while the request is still being written, since an endpoint may answer early and stop
+// reading.
+func (e *Exchange) sendLong(options Options) error {
+	written := make(chan error, 1)
+	if err := ants.Submit(func() { written <- e.conn.Flush() }); err != nil {
+		return &Error{Stage: StageDial, Cause: err}
+	}
+	e.writing = written
+	return e.readResponse(options)
+}
+
+func (e *Exchange) readResponse(options Options) error {
+	for {
+		if err := resp.ReadHeaders(e.Response, e.conn); err != nil {
+			return &Error{Stage: StageHeader, Cause: err}
+		}
+		if err := e.openBody(options); err != nil {
+			return err
+		}
+		if options.Accept == nil || options.Accept(&e.Response.Header) {
+			return nil
+		}
+		if _, err := io.Copy(io.Discard, e.Body()); err != nil {
+			return &Error{Stage: StageHeader, Cause: err}
+		}
+		e.Response.Reset()
+	}
+}
+
+// openBody prepares the body's reader; the library reads chunks, and the rest needs a bound that it does not keep.
+func (e *Exchange) openBody(options Options) error {
+	e.untilClose, e.fixed = false, nil
+	if e.Response.MustSkipBody() {
+		return nil
+	}
+	switch length := e.Response.Header.ContentLength(); {
+	case length == identityBody:
+		e.untilClose = true
+		return nil
+	case length >= 0:
+		e.fixed = &fixedBody{conn: e.conn, left: length}
+		return nil
+	default:
+		err := resp.ReadRespBodyStream(e.Response, e.conn, options.MaxBody, func(bool) error { return nil })
+		if err != nil {
+			return &Error{Stage: StageHeader, Cause: err}
+		}
+		return nil
+	}
+}
+
+// fixedBody reads a body of known length and fails when the connection ends before it.
+type fixedBody struct {
+	conn network.Conn
+	left int
+}
+
+// Read reads at most what is left of the body.
+func (f *fixedBody) Read(p []byte) (int, error) {
+	if f.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := f.conn.Read(p[:min(len(p), f.left)])
+	f.left -= n
+	if errors.Is(err, io.EOF) && f.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// unwritten reports whether a part of the request has not left yet, or could not be written.
+func (e *Exchange) unwritten() bool {
+	if e.writing == nil {
+		return false
+	}
+	select {
+	case err := <-e.writing:
+		return err != nil
+	default:
+		return true
 	}
-	return nil
 }
 
 func withContextCause(ctx context.Context, err error) error {
@@ -121,6 +219,12 @@
 
 // Body returns the response body as a stream.
 func (e *Exchange) Body() io.Reader {
+	if e.untilClose {
+		return e.conn
+	}
+	if e.fixed != nil {
+		return e.fixed
+	}
 	if !e.Response.IsBodyStream() {
 		return eofReader{}
 	}
@@ -139,7 +243,7 @@
 	}
 	e.ended = true
 	intact := e.stop()
-	if !intact || e.Response.ConnectionClose() {
+	if !intact || e.Response.ConnectionClose() || e.untilClose || e.conn.Len() > 0 || e.unwritten() {
 		closeConn(e.conn)
 		return
 	}
@@ -147,7 +251,7 @@
 		closeConn(e.conn)
 		return
 	}
-	e.client.keep(e.address, e.conn)
+	e.client.keep(e.address, e.conn, idleLimit(&e.Response.Header))
 }
 
 // Abort closes the connection, which cancels the work at the endpoint.
@@ -169,11 +273,7 @@
 			closeConn(idle.conn)
 		}
 	}
-	conn, err := c.dialer.DialConnection("tcp", address.String(), c.dialTimeout, nil)
-	if err != nil {
-		return nil, err
-	}
-	return conn, nil
+	return dial(address.String(), c.dialTimeout)
 }
 
 func (c *Client) takeIdle(address netip.AddrPort) (idleConn, bool) {
@@ -192,7 +292,7 @@
 // way that looks like the endpoint's death under the request.
 func (i idleConn) usable(now time.Time) bool {
 	idle := now.Sub(i.since)
-	if idle >= maxIdleTime {
+	if idle >= i.limit {
 		return false
 	}
 	if idle < unprobedIdleTime {
@@ -205,14 +305,25 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-func (c *Client) keep(address netip.AddrPort, conn network.Conn) {
+// idleLimit returns how long a connection may stay idle: somewhat less than its other end says.
+func idleLimit(header *protocol.ResponseHeader) time.Duration {
+	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
+		text, found := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if seconds, err := strconv.Atoi(text); found && err == nil {
+			return min(maxIdleTime, time.Duration(seconds)*time.Second-idleMargin)
+		}
+	}
+	return maxIdleTime
+}
+
+func (c *Client) keep(address netip.AddrPort, conn network.Conn, limit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.idle[address]) >= maxIdlePerAddress {
 		closeConn(conn)
 		return
 	}
-	c.idle[address] = append(c.idle[address], idleConn{conn: conn, since: time.Now()})
+	c.idle[address] = append(c.idle[address], idleConn{conn: conn, since: time.Now(), limit: limit})
 }
 
 // Close closes every idle connection.
