--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -6,7 +6,11 @@
 	"net"
 	"net/netip"
 	"os"
+	"os/signal"
+	"reflect"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -45,7 +49,7 @@
 	if c.Check {
 		return printJSON(c.out, s)
 	}
-	return runGateway(s)
+	return runGateway(path, s)
 }
 
 func readGateway(path string) (settings.Gateway, error) {
@@ -57,7 +61,44 @@
 	return s, findings.Err()
 }
 
-func runGateway(s settings.Gateway) error {
+// settingsPoll is how often the settings file is looked at, since it may change without a signal.
+const settingsPoll = 2 * time.Second
+
+// followSettings reads the settings again at each hang-up signal and whenever the file has changed.
+func followSettings(
+	ctx context.Context,
+	path string,
+	current settings.Gateway,
+	process *gateway.Gateway,
+	log *eventlog.Log,
+) error {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hangUps:
+			signalled = true
+		case <-ticker.C:
+		}
+		next, err := readGateway(path)
+		changed := err == nil && !reflect.DeepEqual(next, current)
+		if signalled || changed || err != nil {
+			log.Emit(eventlog.SettingsReloaded, changed, err)
+		}
+		if changed {
+			current = next
+			process.SetBounds(next.Bounds)
+		}
+	}
+}
+
+func runGateway(path string, s settings.Gateway) error {
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
 	signals, stop := stopSignals()
 	defer stop()
@@ -72,6 +113,7 @@
 	log := eventlog.New(os.Stdout, logrus.InfoLevel, "gateway/"+s.Name, s.Domain)
 	process := gateway.New(clock.Now(), s, log)
 	process.Start(g, listeners[0], listeners[1])
+	g.Start("reload settings", func(ctx context.Context) error { return followSettings(ctx, path, s, process, log) })
 	waitForStop(signals, g, process.StopRequested())
 	cut := process.Drain(g.Context())
 	log.Emit(eventlog.ProcessStopped, "gateway", cut)
--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -140,6 +140,16 @@
 		[]string{"request", "runner", "status", "unit"},
 		"Nothing; the request goes elsewhere within its budget.",
 	}
+	RefusedStopping = Event{
+		508, logrus.InfoLevel, "a request was refused by a process that is about to stop",
+		[]string{"request"},
+		"Nothing; the caller comes back to another VM.",
+	}
+	SettingsReloaded = Event{
+		104, logrus.InfoLevel, "settings read again",
+		[]string{"changed", "error"},
+		"If there is an error, the earlier settings stay in force.",
+	}
 	RequestEnded = Event{
 		507, logrus.InfoLevel, "request ended",
 		[]string{
@@ -157,5 +167,6 @@
 		LeaseChanged, OrderAnswered, UnitShort, IntentsFailed,
 		PeerUnreachable, RunnerChanged, ControlLost, StoreLost, StoreBack, RunnerListed, RunnerUnreadable,
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined, RequestEnded,
+		RefusedStopping, SettingsReloaded,
 	}
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -105,4 +105,4 @@
 func (g Gateway) StopLimit() time.Duration { return g.Bounds.Grace.Duration - stopMargin }
 
 // stopMargin is the time that the process needs to end.
-const stopMargin = 500 * time.Millisecond
+const stopMargin = 250 * time.Millisecond
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -63,6 +63,11 @@
 	}
 	request, wait := platform.ReadRequest(&c.Request)
 	request.Arrived = now
+	if g.refusing.Load() {
+		g.log.Emit(eventlog.RefusedStopping, request.ID)
+		g.refuse(c, request.ID, statusUnavailable, time.Millisecond)
+		return
+	}
 	table := g.table.Load()
 	if table == nil {
 		g.refuse(c, request.ID, statusUnavailable, noConfigurationRetry)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -50,6 +50,8 @@
 
 	inFlight  atomic.Int64
 	stopping  atomic.Bool
+	// refusing tells that the VM has been out of the platform's rotation for long enough to take nothing more.
+	refusing  atomic.Bool
 	stopOnce  sync.Once
 	stopAsked chan struct{}
 }
@@ -88,8 +90,9 @@
 	g.log.Emit(eventlog.ProcessStopping, "gateway")
 	ctx, cancel := context.WithTimeout(ctx, g.settings.StopLimit())
 	defer cancel()
-	for ctx.Err() == nil && (g.inFlight.Load() > 0 || clock.Now().Sub(began) < leaveRotation) {
+	for ctx.Err() == nil && (g.inFlight.Load() > 0 || !g.refusing.Load()) {
 		group.Sleep(ctx, drainPoll)
+		g.refusing.Store(clock.Now().Sub(began) >= leaveRotation)
 	}
 	return g.inFlight.Load()
 }
@@ -103,6 +106,14 @@
 // ready reports whether the VM takes callers: it must know a configuration.
 func (g *Gateway) ready() bool { return g.table.Load() != nil && !g.stopping.Load() }
 
+// SetBounds puts changed bounds in force.
+func (g *Gateway) SetBounds(bounds settings.Bounds) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settings.Bounds = bounds
+	clear(g.budgets)
+}
+
 // announce wakes those who wait for a change of the directory; the lock must be held.
 func (g *Gateway) announce() {
 	close(g.changed)
--- a/transport/gateway/relay.go
+++ b/transport/gateway/relay.go
@@ -96,6 +96,10 @@
 	if err := r.writer.Flush(); err != nil {
 		return errCallerGone
 	}
+	// The time set above holds for every later write on the connection, also of other answers.
+	if err := r.context.GetConn().SetWriteTimeout(0); err != nil {
+		return errCallerGone
+	}
 	return nil
 }
 
