--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -102,7 +102,7 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
 	signals, stop := stopSignals()
 	defer stop()
-	listeners, err := httpserve.ListenAll([]netip.AddrPort{s.Callers, s.Readiness})
+	listeners, err := httpserve.ListenAll([]netip.AddrPort{s.Callers, s.Readiness, s.Peers()})
 	if err != nil {
 		return err
 	}
@@ -112,7 +112,7 @@
 	}
 	log := eventlog.New(os.Stdout, logrus.InfoLevel, "gateway/"+s.Name, s.Domain)
 	process := gateway.New(clock.Now(), s, log)
-	process.Start(g, listeners[0], listeners[1])
+	process.Start(g, listeners[0], listeners[1], listeners[2])
 	g.Start("reload settings", func(ctx context.Context) error { return followSettings(ctx, path, s, process, log) })
 	waitForStop(signals, g, process.StopRequested())
 	cut := process.Drain(g.Context())
--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -140,6 +140,56 @@
 		[]string{"request", "runner", "status", "unit"},
 		"Nothing; the request goes elsewhere within its budget.",
 	}
+	RegistrationFailed = Event{
+		408, logrus.WarnLevel, "the VM's key could not be written; it is tried again",
+		[]string{"error"},
+		"Check the store and the network to it.",
+	}
+	MemberChanged = Event{
+		409, logrus.InfoLevel, "a VM joined or left",
+		[]string{"vm", "change", "revision"},
+		"Nothing.",
+	}
+	OwnerChanged = Event{
+		305, logrus.InfoLevel, "the owner of a runner changes",
+		[]string{"runner", "change", "revision", "waitMs"},
+		"Nothing.",
+	}
+	LoadPlace = Event{
+		306, logrus.InfoLevel, "no place among the loads from the weight store; it is tried again",
+		[]string{"service", "places", "error"},
+		"Nothing; the rate of loads is at its bound.",
+	}
+	ReportFailed = Event{
+		307, logrus.WarnLevel, "a runner's report could not be read",
+		[]string{"runner", "error"},
+		"Check the runner if it repeats.",
+	}
+	RunnerReported = Event{
+		308, logrus.InfoLevel, "a runner's report changed what is known of it",
+		[]string{"runner", "sequence", "busy", "models"},
+		"Nothing.",
+	}
+	OrderGiven = Event{
+		309, logrus.InfoLevel, "order given to a runner",
+		[]string{"runner", "verb", "unit", "result", "expected", "fence", "ms", "error"},
+		"Result 'unknown' is resolved by the runner's next report.",
+	}
+	MovePlanned = Event{
+		310, logrus.InfoLevel, "a move of models is planned",
+		[]string{"runner", "load", "unload", "demand"},
+		"Nothing.",
+	}
+	MoveTaken = Event{
+		311, logrus.InfoLevel, "the owner of a runner takes a planned move",
+		[]string{"runner", "load", "unload"},
+		"Nothing.",
+	}
+	AdapterAsked = Event{
+		312, logrus.InfoLevel, "the owner of a runner was asked for an adapter",
+		[]string{"request", "runner", "unit", "owner", "held", "reason", "ms"},
+		"Check the owner if the reason repeats.",
+	}
 	RefusedStopping = Event{
 		508, logrus.InfoLevel, "a request was refused by a process that is about to stop",
 		[]string{"request"},
@@ -167,6 +217,7 @@
 		LeaseChanged, OrderAnswered, UnitShort, IntentsFailed,
 		PeerUnreachable, RunnerChanged, ControlLost, StoreLost, StoreBack, RunnerListed, RunnerUnreadable,
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined, RequestEnded,
-		RefusedStopping, SettingsReloaded,
+		RefusedStopping, SettingsReloaded, RegistrationFailed, MemberChanged, OwnerChanged, LoadPlace,
+		ReportFailed, RunnerReported, OrderGiven, MovePlanned, MoveTaken, AdapterAsked,
 	}
 }
--- /dev/null
+++ b/protocol/vm/messages.go
@@ -0,0 +1,74 @@
+package vm
+
+import (
+	"time"
+
+	"github.com/zinniaroute/zinniaroute/state/allocation"
+	"github.com/zinniaroute/zinniaroute/state/dispatch"
+	"github.com/zinniaroute/zinniaroute/state/fleet"
+	"github.com/zinniaroute/zinniaroute/state/orders"
+)
+
+// The names of the calls.
+const (
+	// CallExchange hands a Digest to the VM that gathers them, and returns a Summary.
+	CallExchange = "/zinniaroute.VM/Exchange"
+	// CallNeed asks the owner of a runner for an adapter there.
+	CallNeed = "/zinniaroute.VM/Need"
+)
+
+// Owned is what the owner of a runner knows of it.
+type Owned struct {
+	Runner      string         `cbor:"1,keyasint"`
+	Incarnation int64          `cbor:"2,keyasint"`
+	Holdings    fleet.Holdings `cbor:"3,keyasint"`
+	// Age is how long ago the holdings were known to be so.
+	Age time.Duration `cbor:"4,keyasint"`
+	// Moving runners have an order on weights under way.
+	Moving bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Use tells when an adapter was last asked for on a runner.
+type Use struct {
+	Runner string        `cbor:"1,keyasint"`
+	Unit   fleet.Unit    `cbor:"2,keyasint"`
+	Age    time.Duration `cbor:"3,keyasint"`
+}
+
+// Digest is what a VM tells the one that gathers.
+type Digest struct {
+	VM     string                       `cbor:"1,keyasint"`
+	Shares map[string]dispatch.Share    `cbor:"2,keyasint,omitempty"`
+	Demand map[string]allocation.Demand `cbor:"3,keyasint,omitempty"`
+	Uses   []Use                        `cbor:"4,keyasint,omitempty"`
+	Owned  []Owned                      `cbor:"5,keyasint,omitempty"`
+}
+
+// Summary is what the gathering VM tells another.
+type Summary struct {
+	// Shares are the sums of all other VMs.
+	Shares map[string]dispatch.Share `cbor:"1,keyasint,omitempty"`
+	// Known is what the owners of runners know of them.
+	Known []Owned `cbor:"2,keyasint,omitempty"`
+	// Moves are the changes that the plan asks for at runners that the VM owns.
+	Moves map[string]orders.Move `cbor:"3,keyasint,omitempty"`
+	// Uses are those of other VMs at runners that the VM owns.
+	Uses []Use `cbor:"4,keyasint,omitempty"`
+	// Members is the number of VMs that take part.
+	Members int `cbor:"5,keyasint"`
+}
+
+// NeedRequest asks for an adapter on a runner.
+type NeedRequest struct {
+	VM     string     `cbor:"1,keyasint"`
+	Runner string     `cbor:"2,keyasint"`
+	Unit   fleet.Unit `cbor:"3,keyasint"`
+}
+
+// NeedAnswer tells whether the adapter is there now.
+type NeedAnswer struct {
+	Held bool `cbor:"1,keyasint"`
+	// Reason tells why it is not.
+	Reason string `cbor:"2,keyasint,omitempty"`
+	Owned  Owned  `cbor:"3,keyasint"`
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -102,7 +102,7 @@
 }
 
 // StopLimit returns how long a planned stop waits for requests in flight, which leaves time to end the process.
-func (g Gateway) StopLimit() time.Duration { return g.Bounds.Grace.Duration - stopMargin }
+func StopLimit(b Bounds) time.Duration { return b.Grace.Duration - stopMargin }
 
 // stopMargin is the time that the process needs to end.
 const stopMargin = 250 * time.Millisecond
--- /dev/null
+++ b/state/allocation/plan.go
@@ -0,0 +1,233 @@
+package allocation
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zinniaroute/zinniaroute/state/orders"
+	"github.com/zinniaroute/zinniaroute/state/routes"
+)
+
+const (
+	// gain is how many times more work a copy of the new model must take on than the copy that it replaces did.
+	gain = 1.5
+	// leastDemand is the work below which no further copy of a model is worth a load, in runners.
+	leastDemand = 0.02
+	// maxBusy is the number of runners that change their models at once.
+	maxBusy = 4
+	// stay is the time for which a model stays on a runner after it was loaded there.
+	stay = 3 * time.Second
+	// absentWeight makes a model that no runner holds, and that is asked for, go before every further copy.
+	absentWeight = 1000
+)
+
+// Runner is a runner as the plan sees it.
+type Runner struct {
+	ID       string
+	Models   []string
+	InMemory []string
+	OnDisk   []string
+	// Fixed runners are changing, leaving, or not to be ordered now; what they hold still counts.
+	Fixed bool
+	// Gone runners hold copies that do not count, since they leave.
+	Gone bool
+	// Since is when each model was loaded, as far as known.
+	Since map[string]time.Time
+}
+
+func (r *Runner) holds(model string) bool { return slices.Contains(r.Models, model) }
+
+// Demand is the work that a model's requests ask for, in runners.
+type Demand map[string]float64
+
+// Assignment is a move of one runner.
+type Assignment struct {
+	Runner string
+	Move   orders.Move
+}
+
+// planner is one round of planning.
+type planner struct {
+	now     time.Time
+	engine  *routes.Engine
+	runners []*Runner
+	demand  Demand
+	copies  map[string]int
+	// work is the demand that each runner is thought to serve.
+	work map[string]float64
+}
+
+// Plan returns the moves to begin now.
+func Plan(now time.Time, engine *routes.Engine, runners []*Runner, demand Demand) []Assignment {
+	p := &planner{now: now, engine: engine, runners: runners, demand: demand}
+	busy := 0
+	for _, runner := range runners {
+		if runner.Fixed {
+			busy++
+		}
+	}
+	var assignments []Assignment
+	for busy < maxBusy {
+		p.count()
+		assignment, ok := p.best()
+		if !ok {
+			break
+		}
+		assignments = append(assignments, assignment)
+		p.apply(assignment)
+		busy++
+	}
+	return assignments
+}
+
+func (p *planner) count() {
+	p.copies = make(map[string]int)
+	for _, runner := range p.runners {
+		if runner.Gone {
+			continue
+		}
+		for _, model := range runner.Models {
+			p.copies[model]++
+		}
+	}
+	p.work = make(map[string]float64)
+	for _, runner := range p.runners {
+		for _, model := range runner.Models {
+			p.work[runner.ID] += p.share(model, 0)
+		}
+	}
+}
+
+// share is the work for each copy of a model if it had some more copies.
+func (p *planner) share(model string, more int) float64 {
+	return p.demand[model] / float64(max(1, p.copies[model]+more))
+}
+
+// urgency is what one more copy of a model is worth.
+func (p *planner) urgency(model string) float64 {
+	if p.copies[model] == 0 {
+		return absentWeight * (1 + p.demand[model])
+	}
+	return p.share(model, 0)
+}
+
+// best returns the move that is worth most.
+func (p *planner) best() (Assignment, bool) {
+	models := make([]*routes.Model, 0, len(p.engine.Models))
+	for i := range p.engine.Models {
+		models = append(models, &p.engine.Models[i])
+	}
+	slices.SortStableFunc(models, func(a, b *routes.Model) int {
+		return cmp.Or(cmp.Compare(p.urgency(b.Name), p.urgency(a.Name)), strings.Compare(a.Name, b.Name))
+	})
+	for _, model := range models {
+		if p.copies[model.Name] > 0 && p.demand[model.Name] < leastDemand {
+			break
+		}
+		if assignment, ok := p.placeFor(model); ok {
+			return assignment, true
+		}
+	}
+	return Assignment{}, false
+}
+
+// placeFor returns the cheapest move that gives a model one more copy.
+func (p *planner) placeFor(model *routes.Model) (Assignment, bool) {
+	best, bestCost := Assignment{}, math.Inf(1)
+	for _, runner := range p.runners {
+		if runner.Fixed || runner.Gone || runner.holds(model.Name) {
+			continue
+		}
+		victims, loss, ok := p.victims(runner, model)
+		if !ok {
+			continue
+		}
+		if cost := loss + p.loadCost(runner, model) + p.work[runner.ID]; cost < bestCost {
+			best = Assignment{Runner: runner.ID, Move: orders.Move{Unload: victims, Load: model.Name}}
+			bestCost = cost
+		}
+	}
+	return best, best.Runner != ""
+}
+
+// loadCost is the time of a load, in runners of a second.
+func (p *planner) loadCost(runner *Runner, model *routes.Model) float64 {
+	switch {
+	case slices.Contains(runner.InMemory, model.Name):
+		return model.WarmTime.Seconds() / 10
+	case slices.Contains(runner.OnDisk, model.Name):
+		return model.DiskTime.Seconds() / 10
+	default:
+		return coldFactor * model.LoadTime.Seconds() / 10
+	}
+}
+
+// coldFactor makes a load from the weight store dearer than its time, since such loads are rationed.
+const coldFactor = 2
+
+// victims returns the models that a runner must give up for another, and the work that their copies served.
+func (p *planner) victims(runner *Runner, model *routes.Model) ([]string, float64, bool) {
+	free := p.engine.MemoryMB - p.reserve()
+	held := make([]*routes.Model, 0, len(runner.Models))
+	for _, name := range runner.Models {
+		m := p.engine.Model(name)
+		if m == nil {
+			return nil, 0, false
+		}
+		free -= m.MemoryMB
+		held = append(held, m)
+	}
+	slices.SortStableFunc(held, func(a, b *routes.Model) int {
+		return cmp.Compare(p.share(a.Name, 0), p.share(b.Name, 0))
+	})
+	var names []string
+	loss := 0.0
+	for _, victim := range held {
+		if free >= model.MemoryMB {
+			break
+		}
+		if !p.mayGo(runner, victim, model) {
+			continue
+		}
+		free += victim.MemoryMB
+		loss += p.share(victim.Name, 0)
+		names = append(names, victim.Name)
+	}
+	return names, loss, free >= model.MemoryMB
+}
+
+// mayGo reports whether a copy may make way for a copy of another model.
+func (p *planner) mayGo(runner *Runner, victim, model *routes.Model) bool {
+	if p.copies[victim.Name] <= 1 || p.now.Sub(runner.Since[victim.Name]) < stay {
+		return false
+	}
+	after := p.share(victim.Name, -1)
+	return after*gain < p.urgency(model.Name)
+}
+
+// reserve is the memory kept for adapters, in megabytes.
+func (p *planner) reserve() float64 {
+	largest := 0.0
+	for i := range p.engine.Models {
+		if p.engine.Models[i].Adapters > 0 {
+			largest = max(largest, p.engine.Models[i].AdapterMB)
+		}
+	}
+	return largest * float64(p.engine.AdapterSlots)
+}
+
+func (p *planner) apply(a Assignment) {
+	for _, runner := range p.runners {
+		if runner.ID != a.Runner {
+			continue
+		}
+		runner.Models = slices.DeleteFunc(slices.Clone(runner.Models), func(m string) bool {
+			return slices.Contains(a.Move.Unload, m)
+		})
+		runner.Models = append(runner.Models, a.Move.Load)
+		runner.Fixed = true
+	}
+}
--- a/state/dispatch/load.go
+++ b/state/dispatch/load.go
@@ -62,7 +62,9 @@
 	return value * math.Exp2(-float64(since)/float64(halfLife))
 }
 
-func (l *load) failureShare(now time.Time) float64 { return decay(l.failures, now.Sub(l.noted), failureHalfLife) }
+func (l *load) failureShare(now time.Time) float64 {
+	return decay(l.failures, now.Sub(l.noted), failureHalfLife)
+}
 
 func (l *load) slow(now time.Time) float64 {
 	return 1 + decay(max(0, l.slowness-1), now.Sub(l.timed), slownessHalfLife)
--- a/state/fleet/directory.go
+++ b/state/fleet/directory.go
@@ -114,6 +114,15 @@
 	return true
 }
 
+// Disown notes that a runner was found not to hold a unit.
+func (d *Directory) Disown(now time.Time, id string, unit Unit) {
+	runner := d.runners[id]
+	if runner == nil || unit.Model == "" {
+		return
+	}
+	runner.Holdings, runner.AsOf = runner.Holdings.Without(unit), now
+}
+
 // Get returns the runner of an identifier, or nil.
 func (d *Directory) Get(id string) *Runner { return d.runners[id] }
 
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -53,6 +54,22 @@
 	return false
 }
 
+// Without returns the holdings without a unit; a model goes with its adapters.
+func (h Holdings) Without(unit Unit) Holdings {
+	models := make([]Held, 0, len(h.Models))
+	for _, held := range h.Models {
+		if held.Model == unit.Model {
+			if unit.Adapter == "" {
+				continue
+			}
+			held.Adapters = slices.DeleteFunc(slices.Clone(held.Adapters), func(a string) bool { return a == unit.Adapter })
+		}
+		models = append(models, held)
+	}
+	h.Models = models
+	return h
+}
+
 // AdapterCount returns the number of adapter places that are taken.
 func (h Holdings) AdapterCount() int {
 	count := len(h.Coming)
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -96,6 +96,7 @@
 	g.mu.Lock()
 	budget := g.budget(x.service)
 	budget.Arrived(now)
+	g.use(now, x.service, x)
 	g.mu.Unlock()
 	x.machine = lifecycle.New(
 		lifecycle.Limits{Repeatable: route.Repeatable(), MaxRuns: route.MaxRuns},
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -177,6 +177,9 @@
 		x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, true, err)
 	}
 	x.ended(dispatch.Declined)
+	if verdict.Misdirected {
+		x.gateway.disown(x.choice.Runner, x.request.Unit)
+	}
 	status := x.call.Response.StatusCode()
 	x.gateway.log.Emit(eventlog.EndpointDeclined, x.request.ID, x.choice.Runner.ID, status, x.request.Unit.String())
 	return x.step(ctx, lifecycle.Declined{Misdirected: verdict.Misdirected})
--- a/transport/gateway/follow.go
+++ b/transport/gateway/follow.go
@@ -52,14 +52,17 @@
 
 // list takes in everything that the store holds, and returns the revision from which a watch goes on.
 func (g *Gateway) list(ctx context.Context, afterOutage bool) (uint64, error) {
+	asked := clock.Now()
 	items, revision, err := g.store.List(ctx, "")
 	if err != nil {
 		return 0, err
 	}
 	now := clock.Now()
 	present := make(map[string]bool)
+	listed := make(map[string]bool)
 	for _, item := range items {
 		g.apply(now, item)
+		listed[item.Key] = true
 		if id, ok := strings.CutPrefix(item.Key, platform.RunnersPrefix); ok {
 			present[id] = true
 		}
@@ -71,7 +74,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.dropped(g.directory.Listed(now, present, grace))
-	g.heard = now
+	g.forgetAbsent(now, listed)
+	g.heard = asked
+	g.owners.Heard(asked)
 	g.announce()
 	return revision, nil
 }
@@ -91,6 +96,7 @@
 		revision = max(revision, next)
 		g.mu.Lock()
 		g.heard = asked
+		g.owners.Heard(asked)
 		g.dropped(g.directory.Expire(now))
 		if len(events) > 0 {
 			g.announce()
@@ -102,6 +108,25 @@
 	}
 }
 
+// forgetAbsent forgets members, owners and load places whose keys a listing no longer has; the lock must be held.
+func (g *Gateway) forgetAbsent(now time.Time, listed map[string]bool) {
+	for _, member := range g.owners.Members() {
+		if !listed[membersPrefix+member] {
+			g.owners.Left(now, member)
+		}
+	}
+	for _, runner := range g.owners.Runners() {
+		if !listed[ownersPrefix+runner] {
+			g.owners.Released(runner)
+		}
+	}
+	for key := range g.loadPlaces {
+		if !listed[key] {
+			delete(g.loadPlaces, key)
+		}
+	}
+}
+
 // dropped forgets runners that are gone; the lock must be held.
 func (g *Gateway) dropped(ids []string) {
 	for _, id := range ids {
@@ -117,6 +142,22 @@
 		g.configure(item)
 	case strings.HasPrefix(item.Key, platform.RunnersPrefix):
 		g.note(now, item)
+	default:
+		g.noteOwn(now, item)
+	}
+}
+
+// noteOwn takes in one of the system's own keys.
+func (g *Gateway) noteOwn(now time.Time, item platform.Item) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case strings.HasPrefix(item.Key, membersPrefix):
+		g.noteMember(now, item)
+	case strings.HasPrefix(item.Key, ownersPrefix):
+		g.noteOwner(item)
+	case strings.HasPrefix(item.Key, loadsPrefix):
+		g.noteLoadPlace(item)
 	}
 }
 
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -8,12 +8,18 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
+
+	"github.com/zinniaroute/zinniaroute/coordination/gathering"
+	"github.com/zinniaroute/zinniaroute/coordination/ownership"
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/platform"
 	"github.com/zinniaroute/zinniaroute/settings"
+	"github.com/zinniaroute/zinniaroute/state/allocation"
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
+	"github.com/zinniaroute/zinniaroute/state/orders"
 	"github.com/zinniaroute/zinniaroute/state/routes"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 	"github.com/zinniaroute/zinniaroute/transport/group"
@@ -31,10 +37,16 @@
 // Gateway is the state that the duties of a VM share.
 type Gateway struct {
 	settings settings.Gateway
+	limits   atomic.Pointer[settings.Bounds]
 	log      *eventlog.Log
-	runners  *httpcall.Client
-	engines  *platform.Engines
-	store    *platform.Store
+	run      *group.Group
+	// incarnation identifies this process among those of the VM.
+	incarnation string
+	peers       *peers
+	renewed     time.Time
+	runners     *httpcall.Client
+	engines     *platform.Engines
+	store       *platform.Store
 
 	table atomic.Pointer[routes.Table]
 
@@ -44,12 +56,25 @@
 	budgets   map[string]*lifecycle.SharedBudget
 	random    *rand.Rand
 	// changed is closed and replaced when the directory has changed.
-	changed chan struct{}
+	changed    chan struct{}
+	owners     *ownership.Desk
+	ordered    map[string]*orderedRunner
+	loadPlaces map[string]bool
+	meters     map[string]*allocation.Meter
+	uses       map[gathering.Place]time.Time
+	gathered   *gathering.Table
+	// moves are planned and not yet handed to the owners of their runners; moved is when they were planned.
+	moves map[string]orders.Move
+	moved map[string]time.Time
+	// held is since when runners hold their models, as the plan has seen it.
+	held      map[string]map[string]time.Time
+	planned   time.Time
+	gathering time.Time
 	// heard is when the store last told that the directory is complete.
 	heard time.Time
 
-	inFlight  atomic.Int64
-	stopping  atomic.Bool
+	inFlight atomic.Int64
+	stopping atomic.Bool
 	// refusing tells that the VM has been out of the platform's rotation for long enough to take nothing more.
 	refusing  atomic.Bool
 	stopOnce  sync.Once
@@ -59,7 +84,8 @@
 // New returns a gateway that is not started yet.
 func New(now time.Time, s settings.Gateway, log *eventlog.Log) *Gateway {
 	runners := httpcall.NewClient(runnerDial)
-	return &Gateway{
+	incarnation := uuid.NewString()
+	g := &Gateway{
 		settings:  s,
 		log:       log,
 		runners:   runners,
@@ -71,14 +97,38 @@
 		random:    rand.New(rand.NewPCG(uint64(now.UnixNano()), 0)),
 		changed:   make(chan struct{}),
 		stopAsked: make(chan struct{}),
+
+		incarnation: incarnation,
+		peers:       newPeers(),
+		owners: ownership.New(s.Name, incarnation, ownership.Bounds{
+			Validity: orderValidity, Pause: s.Bounds.TakeOver.Duration, Settle: settleTime,
+		}),
+		ordered:    make(map[string]*orderedRunner),
+		loadPlaces: make(map[string]bool),
+		meters:     make(map[string]*allocation.Meter),
+		uses:       make(map[gathering.Place]time.Time),
+		gathered:   gathering.NewTable(),
+		moves:      make(map[string]orders.Move),
+		moved:      make(map[string]time.Time),
+		held:       make(map[string]map[string]time.Time),
 	}
+	g.limits.Store(&s.Bounds)
+	return g
 }
 
+// bounds returns the bounds in force.
+func (g *Gateway) bounds() settings.Bounds { return *g.limits.Load() }
+
 // Start runs the gateway's duties in the group on open listeners.
-func (g *Gateway) Start(run *group.Group, callers, readiness net.Listener) {
+func (g *Gateway) Start(run *group.Group, callers, readiness, peers net.Listener) {
+	g.run = run
 	g.serveCallers(run, callers)
 	g.serveReadiness(run, readiness)
+	g.handlers().Start(run, peers)
 	run.Start("follow store", g.follow)
+	run.Start("register", g.register)
+	run.Start("claim runners", g.claim)
+	run.Start("exchange", g.exchange)
 	g.log.Emit(eventlog.ProcessStarted, "gateway", callers.Addr().String(), readiness.Addr().String())
 }
 
@@ -88,7 +138,7 @@
 	g.stopping.Store(true)
 	began := clock.Now()
 	g.log.Emit(eventlog.ProcessStopping, "gateway")
-	ctx, cancel := context.WithTimeout(ctx, g.settings.StopLimit())
+	ctx, cancel := context.WithTimeout(ctx, settings.StopLimit(g.bounds()))
 	defer cancel()
 	for ctx.Err() == nil && (g.inFlight.Load() > 0 || !g.refusing.Load()) {
 		group.Sleep(ctx, drainPoll)
@@ -110,7 +160,7 @@
 func (g *Gateway) SetBounds(bounds settings.Bounds) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.settings.Bounds = bounds
+	g.limits.Store(&bounds)
 	clear(g.budgets)
 }
 
@@ -124,7 +174,7 @@
 func (g *Gateway) budget(service string) *lifecycle.SharedBudget {
 	b := g.budgets[service]
 	if b == nil {
-		bounds := g.settings.Bounds
+		bounds := g.bounds()
 		b = lifecycle.NewSharedBudget(lifecycle.BudgetBounds{
 			Ratio: bounds.RepeatRatio, Slack: bounds.RepeatSlack, Window: bounds.RepeatWindow.Duration,
 		})
@@ -134,7 +184,5 @@
 	return b
 }
 
-// assumedMembers is the number of VMs that share budgets while the real one is not known.
-const assumedMembers = 9
-
-func (g *Gateway) members() int { return assumedMembers }
+// members returns the number of VMs that share budgets; the lock must be held.
+func (g *Gateway) members() int { return max(1, len(g.owners.Members())) }
--- a/transport/gateway/place.go
+++ b/transport/gateway/place.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/zinniaroute/zinniaroute/coordination/gathering"
 	"github.com/zinniaroute/zinniaroute/eventlog"
+	"github.com/zinniaroute/zinniaroute/protocol/vm"
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
+	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 )
@@ -15,23 +18,125 @@
 	absentRetry = time.Second
 	// emptyRetry is when a caller of a service without endpoints may come back.
 	emptyRetry = 500 * time.Millisecond
+	// absentWait is how long a request waits for a model that no runner holds: the time of a plan and of a load.
+	absentWait = 2 * time.Second
+	// maxNeedTries bounds the runners that are asked for an adapter for one request.
+	maxNeedTries = 3
+	// needTimeout bounds the call to the owner of a runner, which itself waits for at most needWait.
+	needTimeout = needWait + 100*time.Millisecond
 )
 
 // place chooses an endpoint for a request, or says why none takes it.
-func (g *Gateway) place(_ context.Context, x *exchange) (dispatch.Choice, *lifecycle.NoneFree) {
-	now := clock.Now()
+func (g *Gateway) place(ctx context.Context, x *exchange) (dispatch.Choice, *lifecycle.NoneFree) {
+	excluded := x.machine.Excluded()
+	waitUntil := x.request.Arrived.Add(min(absentWait, x.request.Deadline.Sub(x.request.Arrived)/2))
+	tries := 0
+	for {
+		now := clock.Now()
+		g.mu.Lock()
+		runners := g.directory.OfService(x.service)
+		choice, ok := g.desk.Choose(now, &x.request, runners, excluded)
+		heard := now.Sub(g.heard)
+		changed := g.changed
+		g.mu.Unlock()
+		switch {
+		case ok && !choice.Absent:
+			g.touch(now, choice.Runner.ID, x.request.Unit)
+			return choice, nil
+		case ok && tries < maxNeedTries:
+			tries++
+			if g.bring(ctx, x, choice.Runner.ID) {
+				return choice, nil
+			}
+			excluded = append(excluded[:len(excluded):len(excluded)], choice.Runner.ID)
+			continue
+		case x.request.Unit.Model == "" || len(runners) == 0 || !now.Before(waitUntil):
+			return choice, g.noneFree(x, len(runners), heard)
+		}
+		if tries > 0 {
+			excluded, tries = x.machine.Excluded(), 0
+		}
+		timer := time.NewTimer(min(waitUntil.Sub(now), placeRetry))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return choice, g.noneFree(x, len(runners), heard)
+		}
+		timer.Stop()
+	}
+}
+
+// placeRetry is how soon a request that waits for a runner looks again without news.
+const placeRetry = 100 * time.Millisecond
+
+func (g *Gateway) noneFree(x *exchange, runners int, heard time.Duration) *lifecycle.NoneFree {
+	refusal := &lifecycle.NoneFree{Reason: "no endpoint holds " + x.request.Unit.String(), RetryAfter: absentRetry}
+	if runners == 0 {
+		refusal = &lifecycle.NoneFree{Reason: "service " + x.service + " has no endpoint", RetryAfter: emptyRetry}
+	}
+	g.log.Emit(eventlog.NoEndpoint, x.request.ID, refusal.Reason, runners, heard.Milliseconds())
+	return refusal
+}
+
+// touch notes the use of an adapter.
+func (g *Gateway) touch(now time.Time, runner string, unit fleet.Unit) {
+	if unit.Adapter == "" {
+		return
+	}
 	g.mu.Lock()
-	runners := g.directory.OfService(x.service)
-	choice, ok := g.desk.Choose(now, &x.request, runners, x.machine.Excluded())
-	heard := now.Sub(g.heard)
+	defer g.mu.Unlock()
+	g.uses[gathering.Place{Runner: runner, Unit: unit}] = now
+	if o := g.ordered[runner]; o != nil {
+		o.ledger.Used(now, unit)
+	}
+}
+
+// bring has an adapter loaded on a runner by the VM that owns it, and reports whether it is there.
+func (g *Gateway) bring(ctx context.Context, x *exchange, runner string) bool {
+	g.mu.Lock()
+	owner := g.owners.Owner(runner)
 	g.mu.Unlock()
-	if ok {
-		return choice, nil
+	var word vm.Owned
+	var held bool
+	var reason string
+	asked := clock.Now()
+	switch owner {
+	case "":
+		reason = "the runner has no owner"
+	case g.settings.Name:
+		word, held, reason = g.need(ctx, runner, x.request.Unit)
+	default:
+		q := &vm.NeedRequest{VM: g.settings.Name, Runner: runner, Unit: x.request.Unit}
+		answer, err := callNeed[vm.NeedRequest, vm.NeedAnswer](ctx, g.peers, owner, vm.CallNeed, q, needTimeout)
+		if err != nil {
+			reason = err.Error()
+		} else {
+			word, held, reason = answer.Owned, answer.Held, answer.Reason
+		}
 	}
-	refusal := lifecycle.NoneFree{Reason: "no endpoint holds " + x.request.Unit.String(), RetryAfter: absentRetry}
-	if len(runners) == 0 {
-		refusal = lifecycle.NoneFree{Reason: "service " + x.service + " has no endpoint", RetryAfter: emptyRetry}
+	now := clock.Now()
+	g.log.Emit(
+		eventlog.AdapterAsked, x.request.ID, runner, x.request.Unit.String(), owner, held, reason,
+		now.Sub(asked).Milliseconds(),
+	)
+	if held {
+		g.mu.Lock()
+		g.directory.Learn(runner, word.Incarnation, word.Holdings, now)
+		g.mu.Unlock()
+		g.touch(now, runner, x.request.Unit)
+	}
+	return held
+}
+
+// disown notes that a runner turned out not to hold what it was thought to.
+func (g *Gateway) disown(runner *fleet.Runner, unit fleet.Unit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.directory.Disown(clock.Now(), runner.ID, unit)
+	if o := g.ordered[runner.ID]; o != nil {
+		o.ledger.Forget()
+		o.wake()
 	}
-	g.log.Emit(eventlog.NoEndpoint, x.request.ID, refusal.Reason, len(runners), heard.Milliseconds())
-	return choice, &refusal
 }
