--- a/state/allocation/plan.go
+++ b/state/allocation/plan.go
@@ -16,8 +16,6 @@
 	gain = 1.5
 	// leastDemand is the work below which no further copy of a model is worth a load, in runners.
 	leastDemand = 0.02
-	// maxBusy is the number of runners that change their models at once.
-	maxBusy = 4
 	// stay is the time for which a model stays on a runner after it was loaded there.
 	stay = 3 * time.Second
 	// absentWeight makes a model that no runner holds, and that is asked for, go before every further copy.
@@ -30,8 +28,10 @@
 	Models   []string
 	InMemory []string
 	OnDisk   []string
-	// Fixed runners are changing, leaving, or not to be ordered now; what they hold still counts.
+	// Fixed runners are not to be ordered now; what they hold still counts.
 	Fixed bool
+	// Moving runners are changing what they hold.
+	Moving bool
 	// Gone runners hold copies that do not count, since they leave.
 	Gone bool
 	// Since is when each model was loaded, as far as known.
@@ -65,12 +65,12 @@
 	p := &planner{now: now, engine: engine, runners: runners, demand: demand}
 	busy := 0
 	for _, runner := range runners {
-		if runner.Fixed {
+		if runner.Moving {
 			busy++
 		}
 	}
 	var assignments []Assignment
-	for busy < maxBusy {
+	for busy < atOnce(engine) {
 		p.count()
 		assignment, ok := p.best()
 		if !ok {
@@ -83,6 +83,19 @@
 	return assignments
 }
 
+// atOnce returns the number of runners that may change their models at once: as many as the weight store can feed, and
+// some that load from their own copies.
+func atOnce(engine *routes.Engine) int {
+	longest := time.Duration(0)
+	for i := range engine.Models {
+		longest = max(longest, engine.Models[i].LoadTime)
+	}
+	return warmMoves + int(math.Ceil(engine.LoadsPerSecond*longest.Seconds()))
+}
+
+// warmMoves is the number of moves at once beyond those that the weight store can feed.
+const warmMoves = 2
+
 func (p *planner) count() {
 	p.copies = make(map[string]int)
 	for _, runner := range p.runners {
@@ -138,7 +151,7 @@
 func (p *planner) placeFor(model *routes.Model) (Assignment, bool) {
 	best, bestCost := Assignment{}, math.Inf(1)
 	for _, runner := range p.runners {
-		if runner.Fixed || runner.Gone || runner.holds(model.Name) {
+		if runner.Fixed || runner.Moving || runner.Gone || runner.holds(model.Name) {
 			continue
 		}
 		victims, loss, ok := p.victims(runner, model)
@@ -228,6 +241,6 @@
 			return slices.Contains(a.Move.Unload, m)
 		})
 		runner.Models = append(runner.Models, a.Move.Load)
-		runner.Fixed = true
+		runner.Moving = true
 	}
 }
--- /dev/null
+++ b/state/allocation/plan_test.go
@@ -0,0 +1,68 @@
+package allocation
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/zinniaroute/zinniaroute/state/routes"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// engineOf returns an engine whose runners have room for two of its models.
+func engineOf(models ...string) *routes.Engine {
+	e := &routes.Engine{MemoryMB: 200_000, LoadsPerSecond: 2}
+	for _, name := range models {
+		e.Models = append(e.Models, routes.Model{
+			Name: name, MemoryMB: 80_000,
+			LoadTime: 2 * time.Second, WarmTime: time.Second / 2, DiskTime: time.Second,
+		})
+	}
+	return e
+}
+
+func TestRunnersThatCannotBeOrderedDoNotHoldUpThePlan(t *testing.T) {
+	engine := engineOf("a", "b")
+	var runners []*Runner
+	for _, id := range []string{"r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8"} {
+		runners = append(runners, &Runner{ID: id, Models: []string{"a"}, Fixed: true})
+	}
+	runners = append(runners, &Runner{ID: "r9", Models: []string{"a"}})
+	moves := Plan(start, engine, runners, Demand{"a": 1})
+	assert.Equal(t, len(moves), 1)
+	assert.Equal(t, moves[0].Runner, "r9")
+	assert.Equal(t, moves[0].Move.Load, "b")
+}
+
+func TestEveryModelHasACopyBeforeAnyHasMore(t *testing.T) {
+	engine := engineOf("a", "b", "c")
+	runners := []*Runner{{ID: "r1", Models: []string{"a", "b"}}, {ID: "r2", Models: []string{"a", "b"}}}
+	moves := Plan(start, engine, runners, Demand{"a": 5, "b": 0.1})
+	assert.Assert(t, len(moves) > 0)
+	assert.Equal(t, moves[0].Move.Load, "c")
+	assert.DeepEqual(t, moves[0].Move.Unload, []string{"b"})
+}
+
+func TestTheLastCopyIsNeverGivenUp(t *testing.T) {
+	engine := engineOf("a", "b")
+	runners := []*Runner{{ID: "r1", Models: []string{"a", "b"}}, {ID: "r2", Models: []string{"a"}}}
+	for _, demand := range []Demand{{"a": 100}, {"b": 100}, {"a": 3, "b": 0.01}} {
+		for _, a := range Plan(start, engine, runners, demand) {
+			for _, victim := range a.Move.Unload {
+				assert.Assert(t, victim != "b" || a.Runner != "r1", "demand %v: %v", demand, a)
+			}
+		}
+	}
+}
+
+func TestMovesAtOnceAreBoundedByTheWeightStore(t *testing.T) {
+	engine := engineOf("a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l")
+	var runners []*Runner
+	for _, id := range []string{"r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8", "r9", "r10", "r11", "r12"} {
+		runners = append(runners, &Runner{ID: id})
+	}
+	// Two loads a second of two seconds each, and two moves more.
+	assert.Equal(t, len(Plan(start, engine, runners, nil)), 6)
+}
--- a/state/dispatch/desk.go
+++ b/state/dispatch/desk.go
@@ -34,6 +34,8 @@
 	silentPause = 250 * time.Millisecond
 	silentMax   = 2 * time.Second
 	maxCached   = 4096
+	// unorderedPause is how long a runner is not asked for absent adapters after its owner could not help.
+	unorderedPause = 250 * time.Millisecond
 )
 
 // Desk predicts the time at which endpoints begin to answer, from this VM's own sends and what others tell.
@@ -116,6 +118,10 @@
 			continue
 		}
 		l := d.load(runner.ID)
+		unordered := runner.Holdings.Busy || now.Before(l.unorderedUntil)
+		if r.Unit.Adapter != "" && unordered && !runner.Holdings.Has(r.Unit) {
+			continue
+		}
 		if now.Before(l.silentUntil) || now.Before(l.fullUntil) {
 			doubtful = append(doubtful, runner)
 			continue
@@ -278,6 +284,11 @@
 	l.silentUntil = now.Add(min(silentMax, silentPause<<min(l.misses-1, 4)))
 }
 
+// Unordered notes that the owner of a runner could not have an adapter loaded there.
+func (d *Desk) Unordered(now time.Time, runner string) {
+	d.load(runner).unorderedUntil = now.Add(unorderedPause)
+}
+
 // SetOthers takes in what the other VMs have sent to an endpoint.
 func (d *Desk) SetOthers(runner string, share Share) { d.load(runner).others = share }
 
--- a/state/dispatch/load.go
+++ b/state/dispatch/load.go
@@ -53,6 +53,8 @@
 	// silentUntil is when an endpoint that was not reached is tried again.
 	silentUntil time.Time
 	misses      int
+	// unorderedUntil is when the runner's owner is asked for an adapter again.
+	unorderedUntil time.Time
 }
 
 func decay(value float64, since time.Duration, halfLife time.Duration) float64 {
--- a/transport/gateway/gather.go
+++ b/transport/gateway/gather.go
@@ -219,8 +219,8 @@
 		}
 		p := &allocation.Runner{
 			ID: r.ID, InMemory: r.InMemory, OnDisk: r.OnDisk, Gone: r.Leaving,
-			Fixed: !ok || owned.Moving || holdings.Busy || now.Sub(g.moved[r.ID]) < moveTime,
-			Since: g.held[r.ID],
+			Fixed:  !ok,
+			Moving: owned.Moving || holdings.Busy || now.Sub(g.moved[r.ID]) < moveTime,
 		}
 		for _, held := range holdings.Models {
 			p.Models = append(p.Models, held.Model)
--- a/transport/gateway/place.go
+++ b/transport/gateway/place.go
@@ -48,14 +48,11 @@
 			if g.bring(ctx, x, choice.Runner.ID) {
 				return choice, nil
 			}
-			excluded = append(excluded[:len(excluded):len(excluded)], choice.Runner.ID)
 			continue
 		case x.request.Unit.Model == "" || len(runners) == 0 || !now.Before(waitUntil):
 			return choice, g.noneFree(x, len(runners), heard)
 		}
-		if tries > 0 {
-			excluded, tries = x.machine.Excluded(), 0
-		}
+		tries = 0
 		timer := time.NewTimer(min(waitUntil.Sub(now), placeRetry))
 		select {
 		case <-changed:
@@ -121,6 +118,11 @@
 		eventlog.AdapterAsked, x.request.ID, runner, x.request.Unit.String(), owner, held, reason,
 		now.Sub(asked).Milliseconds(),
 	)
+	if !held && ctx.Err() == nil {
+		g.mu.Lock()
+		g.desk.Unordered(now, runner)
+		g.mu.Unlock()
+	}
 	if held {
 		g.mu.Lock()
 		g.directory.Learn(runner, word.Incarnation, word.Holdings, now)
