--- a/coordination/gathering/table.go
+++ b/coordination/gathering/table.go
@@ -75,8 +75,7 @@
 		}
 		for runner, share := range word.Shares {
 			sum := sums[runner]
-			sum.Running += share.Running
-			sum.Pending += share.Pending
+			sum.Add(share)
 			sums[runner] = sum
 		}
 	})
--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -203,7 +203,7 @@
 	RequestEnded = Event{
 		507, logrus.InfoLevel, "request ended",
 		[]string{
-			"request", "route", "unit", "outcome", "status", "reason", "runner", "runs", "ms", "predictedMs", "version",
+			"request", "route", "unit", "outcome", "status", "reason", "runner", "runs", "ms", "predictedMs", "firstMs", "version",
 		},
 		"See docs/OPERATIONS.md.",
 	}
--- a/state/allocation/plan.go
+++ b/state/allocation/plan.go
@@ -119,12 +119,24 @@
 	return p.demand[model] / float64(max(1, p.copies[model]+more))
 }
 
+// least and most bound the demand for a model that may have been measured on a few requests only.
+func (p *planner) least(model string) float64 {
+	return max(0, p.demand[model]-math.Sqrt(p.demand[model]*oneRequest))
+}
+
+func (p *planner) most(model string) float64 {
+	return p.demand[model] + math.Sqrt(p.demand[model]*oneRequest) + oneRequest
+}
+
+// oneRequest is the demand that one request a moment ago shows, in runners: a usual one takes a tenth of a second.
+var oneRequest = 0.1 * math.Ln2 / demandHalfLife.Seconds()
+
 // urgency is what one more copy of a model is worth.
 func (p *planner) urgency(model string) float64 {
 	if p.copies[model] == 0 {
 		return absentWeight * (1 + p.demand[model])
 	}
-	return p.share(model, 0)
+	return p.least(model) / float64(p.copies[model])
 }
 
 // best returns the move that is worth most.
@@ -217,7 +229,7 @@
 	if p.copies[victim.Name] <= 1 || p.now.Sub(runner.Since[victim.Name]) < stay {
 		return false
 	}
-	after := p.share(victim.Name, -1)
+	after := p.most(victim.Name) / float64(p.copies[victim.Name]-1)
 	return after*gain < p.urgency(model.Name)
 }
 
--- a/state/dispatch/desk.go
+++ b/state/dispatch/desk.go
@@ -150,7 +150,7 @@
 		work := plainWork + plainWork*time.Duration(waiting)/time.Duration(max(1, runner.Slots))
 		return time.Duration(float64(work)*l.slow(now)) + time.Duration(running)*time.Millisecond
 	}
-	tokens := l.pending + l.others.Pending + d.unread(now, r, runner.ID, home)
+	tokens := l.ahead(rankOf(r.Rank)) + d.unread(now, r, runner.ID, home)
 	wait := stepTime + time.Duration(tokens)*time.Second/prefillRate + time.Duration(running)*runningCost
 	return time.Duration(float64(wait) * l.slow(now))
 }
@@ -211,9 +211,10 @@
 type Ticket struct {
 	Runner  string
 	unread  int
+	rank    int
 	sent    time.Time
+	// wait is the predicted time to the first byte, without the runner's slowness.
 	wait    time.Duration
-	model   string
 	begun   bool
 	stopped bool
 }
@@ -221,10 +222,13 @@
 // Sent notes that a request goes to a runner.
 func (d *Desk) Sent(now time.Time, r *fleet.Request, choice Choice) *Ticket {
 	runner := choice.Runner.ID
-	t := &Ticket{Runner: runner, unread: d.unread(now, r, runner, false), sent: now, wait: choice.Wait, model: r.Unit.Model}
 	l := d.load(runner)
+	t := &Ticket{
+		Runner: runner, unread: d.unread(now, r, runner, false), rank: rankOf(r.Rank), sent: now,
+		wait: time.Duration(float64(choice.Wait) / l.slow(now)),
+	}
 	l.running++
-	l.pending += t.unread
+	l.pending[t.rank] += t.unread
 	if len(d.cached) > maxCached {
 		d.forget(now)
 	}
@@ -249,9 +253,9 @@
 	}
 	t.begun = true
 	l := d.load(t.Runner)
-	l.pending -= t.unread
+	l.pending[t.rank] -= t.unread
 	l.misses = 0
-	l.measure(now, float64(now.Sub(t.sent))/float64(max(t.wait, 4*stepTime)))
+	l.measure(now, now.Sub(t.sent), t.wait)
 }
 
 // Ended notes what became of a request.
@@ -261,7 +265,7 @@
 	}
 	l := d.load(t.Runner)
 	if !t.begun {
-		l.pending -= t.unread
+		l.pending[t.rank] -= t.unread
 	}
 	t.stopped = true
 	l.running--
@@ -297,7 +301,7 @@
 	shares := make(map[string]Share)
 	for id, l := range d.loads {
 		if l.running > 0 {
-			shares[id] = Share{Running: l.running, Pending: max(0, l.pending)}
+			shares[id] = Share{Running: l.running, Pending: l.pending}
 		}
 	}
 	return shares
--- a/state/dispatch/load.go
+++ b/state/dispatch/load.go
@@ -12,10 +12,15 @@
 	// failureWeight is the weight of one outcome in the failure share.
 	failureWeight = 0.2
 	// slownessWeight is the weight of one measurement in the slowness.
-	slownessWeight = 0.25
+	slownessWeight = 0.2
 	// slownessHalfLife is the time after which half of a measured slowness is forgotten.
 	slownessHalfLife = 4 * time.Second
-	maxSlowness      = 20
+	// maxSlowness and its inverse bound a measurement.
+	maxSlowness = 8
+	// slownessGround is added to both sides of a measurement, so that short times say little.
+	slownessGround = 50 * time.Millisecond
+	// ranks is the number of ranks that are told apart.
+	ranks = 4
 )
 
 // Outcome is what an endpoint made of a request.
@@ -33,19 +38,31 @@
 // Share is what other VMs have sent to an endpoint and not seen finished.
 type Share struct {
 	Running int `cbor:"1,keyasint,omitempty"`
-	// Pending are the prompt tokens of requests whose answers have not begun.
-	Pending int `cbor:"2,keyasint,omitempty"`
+	// Pending are the prompt tokens of requests whose answers have not begun, by rank.
+	Pending [ranks]int `cbor:"2,keyasint,omitempty"`
 }
 
+// Add adds another share.
+func (s *Share) Add(other Share) {
+	s.Running += other.Running
+	for i, tokens := range other.Pending {
+		s.Pending[i] += tokens
+	}
+}
+
+// rankOf returns the place of a rank among those that are told apart.
+func rankOf(rank int) int { return min(max(rank, 0), ranks-1) }
+
 // load is what this VM knows of one endpoint's work.
 type load struct {
 	running int
-	pending int
+	pending [ranks]int
 	others  Share
 	// failures is the share of recent requests that failed, as of noted.
 	failures float64
 	noted    time.Time
-	// slowness is how many times longer than predicted the endpoint takes to begin an answer, as of timed.
+	// slowness is the logarithm of how many times longer than predicted the endpoint takes to begin an answer, as of
+	// timed.
 	slowness float64
 	timed    time.Time
 	// fullUntil is when an endpoint that declined for lack of room is tried again.
@@ -69,7 +86,7 @@
 }
 
 func (l *load) slow(now time.Time) float64 {
-	return 1 + decay(max(0, l.slowness-1), now.Sub(l.timed), slownessHalfLife)
+	return math.Exp(decay(l.slowness, now.Sub(l.timed), slownessHalfLife))
 }
 
 func (l *load) note(now time.Time, failed bool) {
@@ -80,8 +97,29 @@
 	l.failures, l.noted = share, now
 }
 
-func (l *load) measure(now time.Time, ratio float64) {
-	before := l.slow(now)
-	ratio = min(max(ratio, 1), maxSlowness)
+// measure takes in the time to the first byte against the time predicted without the slowness.
+func (l *load) measure(now time.Time, measured, predicted time.Duration) {
+	ratio := float64(measured+slownessGround) / float64(predicted+slownessGround)
+	ratio = math.Log(min(max(ratio, 1.0/maxSlowness), maxSlowness))
+	before := decay(l.slowness, now.Sub(l.timed), slownessHalfLife)
 	l.slowness, l.timed = before+slownessWeight*(ratio-before), now
 }
+
+// ahead returns the prompt tokens that a runner reads before a request of a rank: those of its rank and of more urgent
+// ones, and a part of a piece of the others, which is not interrupted.
+func (l *load) ahead(rank int) int {
+	before, after := 0, 0
+	for i := range ranks {
+		tokens := l.pending[i] + l.others.Pending[i]
+		if i <= rank {
+			before += tokens
+		} else {
+			after += tokens
+		}
+	}
+	return before + min(after, pieceTokens/2)
+}
+
+// pieceTokens is the number of prompt tokens that a runner reads between two tokens of others; source: the sheets (a
+// step with a prompt's piece takes about 0.1 s at 38 tokens a ms).
+const pieceTokens = 4096
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -47,6 +47,8 @@
 	body  []byte
 	relay *relay
 	sent  time.Time
+	// first is the time from the last send to the first byte of the answer.
+	first time.Duration
 }
 
 // run drives the machine until the request has its final answer.
@@ -186,6 +188,7 @@
 }
 
 func (x *exchange) began() {
+	x.first = clock.Now().Sub(x.sent)
 	x.gateway.mu.Lock()
 	defer x.gateway.mu.Unlock()
 	x.gateway.desk.Began(clock.Now(), x.ticket)
@@ -259,6 +262,6 @@
 	g.log.Emit(
 		eventlog.RequestEnded, x.request.ID, x.route.Name, x.request.Unit.String(), string(action), status,
 		x.machine.Reason(), x.machine.Endpoint(), x.machine.Runs(), now.Sub(x.request.Arrived).Milliseconds(),
-		x.choice.Wait.Milliseconds(), x.version,
+		x.choice.Wait.Milliseconds(), x.first.Milliseconds(), x.version,
 	)
 }
