--- a/state/allocation/plan.go
+++ b/state/allocation/plan.go
@@ -14,8 +14,9 @@
 const (
 	// gain is how many times more work a copy of the new model must take on than the copy that it replaces did.
 	gain = 1.5
-	// leastDemand is the work below which no further copy of a model is worth a load, in runners.
-	leastDemand = 0.02
+	// leastShare is the work of each copy below which a model needs no further copy, in runners: runners that read
+	// prompts for a larger part of their time answer late.
+	leastShare = 0.25
 	// stay is the time for which a model stays on a runner after it was loaded there.
 	stay = 3 * time.Second
 	// absentWeight makes a model that no runner holds, and that is asked for, go before every further copy.
@@ -149,7 +150,7 @@
 		return cmp.Or(cmp.Compare(p.urgency(b.Name), p.urgency(a.Name)), strings.Compare(a.Name, b.Name))
 	})
 	for _, model := range models {
-		if p.copies[model.Name] > 0 && p.demand[model.Name] < leastDemand {
+		if p.copies[model.Name] > 0 && p.urgency(model.Name) < leastShare {
 			break
 		}
 		if assignment, ok := p.placeFor(model); ok {
--- a/transport/gateway/follow.go
+++ b/transport/gateway/follow.go
@@ -18,7 +18,7 @@
 	// watchWait is the longest wait for a change: runners write every second or so, so that more silence is suspect.
 	watchWait = time.Second
 	// watchPause lets changes gather between two calls.
-	watchPause = 250 * time.Millisecond
+	watchPause = 500 * time.Millisecond
 	// storeRetry is the pause after a failed call to the store.
 	storeRetry = 200 * time.Millisecond
 	// returnGrace is the time in which entries that lapsed during an outage of the store come back.
