Load absent models after busy ones that lack copies, and turn away what would be late

Prompts of any number were sent to a runner that reads them all the time, so that everything there was late.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -140,6 +140,11 @@
 		[]string{"request", "runner", "status", "unit"},
 		"Nothing; the request goes elsewhere within its budget.",
 	}
+	TurnedAway = Event{
+		509, logrus.InfoLevel, "a request was turned away, since it would be served too late",
+		[]string{"request", "reason", "runner", "predictedMs", "duty", "retryAfterMs"},
+		"If it repeats for a model, it needs more copies than its service has room for.",
+	}
 	RegistrationFailed = Event{
 		408, logrus.WarnLevel, "the VM's key could not be written; it is tried again",
 		[]string{"error"},
@@ -190,6 +195,11 @@
 		[]string{"request", "runner", "unit", "owner", "held", "reason", "ms"},
 		"Check the owner if the reason repeats.",
 	}
+	PlanState = Event{
+		313, logrus.InfoLevel, "demand for the busiest models in runners, and their copies",
+		[]string{"service", "models"},
+		"A model whose demand nears its copies answers late.",
+	}
 	RefusedStopping = Event{
 		508, logrus.InfoLevel, "a request was refused by a process that is about to stop",
 		[]string{"request"},
@@ -217,7 +227,7 @@
 		LeaseChanged, OrderAnswered, UnitShort, IntentsFailed,
 		PeerUnreachable, RunnerChanged, ControlLost, StoreLost, StoreBack, RunnerListed, RunnerUnreadable,
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined, RequestEnded,
-		RefusedStopping, SettingsReloaded, RegistrationFailed, MemberChanged, OwnerChanged, LoadPlace,
-		ReportFailed, RunnerReported, OrderGiven, MovePlanned, MoveTaken, AdapterAsked,
+		RefusedStopping, TurnedAway, SettingsReloaded, RegistrationFailed, MemberChanged, OwnerChanged, LoadPlace,
+		ReportFailed, RunnerReported, OrderGiven, MovePlanned, MoveTaken, AdapterAsked, PlanState,
 	}
 }
--- a/state/allocation/plan.go
+++ b/state/allocation/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"strings"
@@ -13,14 +14,16 @@
 
 const (
 	// gain is how many times more work a copy of the new model must take on than the copy that it replaces did.
-	gain = 1.5
+	gain = 1.3
 	// leastShare is the work of each copy below which a model needs no further copy, in runners: runners that read
 	// prompts for a larger part of their time answer late.
 	leastShare = 0.25
 	// stay is the time for which a model stays on a runner after it was loaded there.
 	stay = 3 * time.Second
-	// absentWeight makes a model that no runner holds, and that is asked for, go before every further copy.
-	absentWeight = 1000
+	// absentWeight is how many times dearer the work of a model is that no runner holds: nothing of it is served.
+	absentWeight = 5
+	// absentGrowth is what each second of absence adds to a model's urgency, in runners, so that every one gets its turn.
+	absentGrowth = 0.2
 )
 
 // Runner is a runner as the plan sees it.
@@ -57,13 +60,37 @@
 	runners []*Runner
 	demand  Demand
 	copies  map[string]int
+	// absent is since when no runner holds a model.
+	absent map[string]time.Time
 	// work is the demand that each runner is thought to serve.
 	work map[string]float64
 }
 
-// Plan returns the moves to begin now.
-func Plan(now time.Time, engine *routes.Engine, runners []*Runner, demand Demand) []Assignment {
-	p := &planner{now: now, engine: engine, runners: runners, demand: demand}
+// Absent returns since when no runner holds each model, from what it returned before.
+func Absent(now time.Time, engine *routes.Engine, runners []*Runner, before map[string]time.Time) map[string]time.Time {
+	after := make(map[string]time.Time)
+	for i := range engine.Models {
+		name := engine.Models[i].Name
+		if slices.ContainsFunc(runners, func(r *Runner) bool { return !r.Gone && r.holds(name) }) {
+			continue
+		}
+		after[name] = now
+		if since, ok := before[name]; ok {
+			after[name] = since
+		}
+	}
+	return after
+}
+
+// Plan returns the moves to begin now; absent tells since when no runner holds a model.
+func Plan(
+	now time.Time,
+	engine *routes.Engine,
+	runners []*Runner,
+	demand Demand,
+	absent map[string]time.Time,
+) []Assignment {
+	p := &planner{now: now, engine: engine, runners: runners, demand: demand, absent: absent}
 	busy := 0
 	for _, runner := range runners {
 		if runner.Moving {
@@ -135,7 +162,7 @@
 // urgency is what one more copy of a model is worth.
 func (p *planner) urgency(model string) float64 {
 	if p.copies[model] == 0 {
-		return absentWeight * (1 + p.demand[model])
+		return absentWeight*p.most(model) + absentGrowth*p.now.Sub(p.absent[model]).Seconds()
 	}
 	return p.least(model) / float64(p.copies[model])
 }
@@ -257,3 +284,24 @@
 		runner.Moving = true
 	}
 }
+
+// described is the number of models that a description names.
+const described = 8
+
+// Describe tells the demand for the busiest models and the number of their copies, as text for a log.
+func Describe(runners []*Runner, demand Demand) string {
+	p := &planner{runners: runners, demand: demand}
+	p.count()
+	names := make([]string, 0, len(demand))
+	for name := range demand {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(demand[b], demand[a]), strings.Compare(a, b))
+	})
+	var text strings.Builder
+	for _, name := range names[:min(len(names), described)] {
+		fmt.Fprintf(&text, "%s %.2f/%d ", name, demand[name], p.copies[name])
+	}
+	return strings.TrimSpace(text.String())
+}
--- a/state/dispatch/desk.go
+++ b/state/dispatch/desk.go
@@ -74,6 +74,10 @@
 	Runner *fleet.Runner
 	// Wait is the predicted time to the first byte.
 	Wait time.Duration
+	// Duty is the part of the runner's time that reading prompts uses up.
+	Duty float64
+	// Unread is the number of the request's prompt tokens that the runner must read.
+	Unread int
 	// Absent tells that the runner holds the model but not the adapter that is asked for.
 	Absent bool
 	// Candidates is the number of endpoints that could be chosen.
@@ -100,7 +104,9 @@
 			cost += crossDomain
 		}
 		if bestCost < 0 || cost < bestCost {
-			best, bestCost = Choice{Runner: runner, Wait: wait, Absent: absent}, cost
+			duty := (l.reading(now) + l.others.Reading) / prefillRate
+			best, bestCost = Choice{Runner: runner, Wait: wait, Duty: duty, Absent: absent}, cost
+			best.Unread = d.unread(now, r, runner.ID, runner.ID == home)
 		}
 	}
 	best.Candidates = len(usable)
@@ -228,6 +234,7 @@
 		wait: time.Duration(float64(choice.Wait) / l.slow(now)),
 	}
 	l.running++
+	l.addRead(now, t.unread)
 	l.pending[t.rank] += t.unread
 	if len(d.cached) > maxCached {
 		d.forget(now)
@@ -297,11 +304,11 @@
 func (d *Desk) SetOthers(runner string, share Share) { d.load(runner).others = share }
 
 // Shares returns what this VM has sent to each endpoint and not seen finished.
-func (d *Desk) Shares() map[string]Share {
+func (d *Desk) Shares(now time.Time) map[string]Share {
 	shares := make(map[string]Share)
 	for id, l := range d.loads {
-		if l.running > 0 {
-			shares[id] = Share{Running: l.running, Pending: l.pending}
+		if reading := l.reading(now); l.running > 0 || reading > 1 {
+			shares[id] = Share{Running: l.running, Pending: l.pending, Reading: reading}
 		}
 	}
 	return shares
--- a/state/dispatch/load.go
+++ b/state/dispatch/load.go
@@ -19,6 +19,8 @@
 	maxSlowness = 8
 	// slownessGround is added to both sides of a measurement, so that short times say little.
 	slownessGround = 50 * time.Millisecond
+	// readHalfLife is the time over which the reading of prompts is averaged.
+	readHalfLife = time.Second
 	// ranks is the number of ranks that are told apart.
 	ranks = 4
 )
@@ -40,11 +42,14 @@
 	Running int `cbor:"1,keyasint,omitempty"`
 	// Pending are the prompt tokens of requests whose answers have not begun, by rank.
 	Pending [ranks]int `cbor:"2,keyasint,omitempty"`
+	// Reading is the number of prompt tokens sent a second.
+	Reading float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Add adds another share.
 func (s *Share) Add(other Share) {
 	s.Running += other.Running
+	s.Reading += other.Reading
 	for i, tokens := range other.Pending {
 		s.Pending[i] += tokens
 	}
@@ -58,6 +63,9 @@
 	running int
 	pending [ranks]int
 	others  Share
+	// read is the sum of prompt tokens sent, of which half are forgotten each readHalfLife, as of readAt.
+	read   float64
+	readAt time.Time
 	// failures is the share of recent requests that failed, as of noted.
 	failures float64
 	noted    time.Time
@@ -123,3 +131,12 @@
 // pieceTokens is the number of prompt tokens that a runner reads between two tokens of others; source: the sheets (a
 // step with a prompt's piece takes about 0.1 s at 38 tokens a ms).
 const pieceTokens = 4096
+
+func (l *load) addRead(now time.Time, tokens int) {
+	l.read, l.readAt = decay(l.read, now.Sub(l.readAt), readHalfLife)+float64(tokens), now
+}
+
+// reading returns the prompt tokens that this VM sends a second.
+func (l *load) reading(now time.Time) float64 {
+	return decay(l.read, now.Sub(l.readAt), readHalfLife) * math.Ln2 / readHalfLife.Seconds()
+}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -67,8 +67,11 @@
 	moves map[string]orders.Move
 	moved map[string]time.Time
 	// held is since when runners hold their models, as the plan has seen it.
-	held      map[string]map[string]time.Time
+	held map[string]map[string]time.Time
+	// absent is since when no runner of a service holds a model.
+	absent    map[string]map[string]time.Time
 	planned   time.Time
+	planTold  time.Time
 	gathering time.Time
 	// heard is when the store last told that the directory is complete.
 	heard time.Time
@@ -111,6 +114,7 @@
 		moves:      make(map[string]orders.Move),
 		moved:      make(map[string]time.Time),
 		held:       make(map[string]map[string]time.Time),
+		absent:     make(map[string]map[string]time.Time),
 	}
 	g.limits.Store(&s.Bounds)
 	return g
--- a/transport/gateway/gather.go
+++ b/transport/gateway/gather.go
@@ -79,7 +79,7 @@
 
 // digest returns what this VM tells; the lock must be held.
 func (g *Gateway) digest(now time.Time) *vm.Digest {
-	d := &vm.Digest{VM: g.settings.Name, Shares: g.desk.Shares(), Demand: make(map[string]allocation.Demand)}
+	d := &vm.Digest{VM: g.settings.Name, Shares: g.desk.Shares(now), Demand: make(map[string]allocation.Demand)}
 	for service, meter := range g.meters {
 		d.Demand[service] = meter.Rates(now)
 	}
@@ -193,7 +193,12 @@
 		}
 		runners := g.planRunners(now, name, known)
 		demand := g.gathered.Demand(now, name)
-		for _, a := range allocation.Plan(now, service.Engine, runners, demand) {
+		if now.Sub(g.planTold) >= planTell {
+			g.planTold = now
+			g.log.Emit(eventlog.PlanState, name, allocation.Describe(runners, demand))
+		}
+		g.absent[name] = allocation.Absent(now, service.Engine, runners, g.absent[name])
+		for _, a := range allocation.Plan(now, service.Engine, runners, demand, g.absent[name]) {
 			g.moves[a.Runner] = a.Move
 			g.moved[a.Runner] = now
 			g.log.Emit(eventlog.MovePlanned, a.Runner, a.Move.Load, a.Move.Unload, demand[a.Move.Load])
@@ -204,6 +209,8 @@
 const (
 	// gatherFirst is the time for which a VM gathers before it plans.
 	gatherFirst = time.Second
+	// planTell is how often the demand for models and their copies are logged.
+	planTell = 2 * time.Second
 	// moveTime is the time in which a planned move shows in what its runner's owner tells.
 	moveTime = 1500 * time.Millisecond
 )
--- a/transport/gateway/place.go
+++ b/transport/gateway/place.go
@@ -7,6 +7,7 @@
 	"github.com/zinniaroute/zinniaroute/coordination/gathering"
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/protocol/vm"
+	"github.com/zinniaroute/zinniaroute/state/admission"
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
@@ -39,6 +40,11 @@
 		heard := now.Sub(g.heard)
 		changed := g.changed
 		g.mu.Unlock()
+		if ok {
+			if refusal := g.admit(now, x, choice); refusal != nil {
+				return choice, refusal
+			}
+		}
 		switch {
 		case ok && !choice.Absent:
 			g.touch(now, choice.Runner.ID, x.request.Unit)
@@ -65,6 +71,24 @@
 	}
 }
 
+// admit turns a request away that has not been sent and that the best endpoint would serve too late.
+func (g *Gateway) admit(now time.Time, x *exchange, choice dispatch.Choice) *lifecycle.NoneFree {
+	if x.machine.MayHaveRun() {
+		return nil
+	}
+	verdict := admission.Decide(now, &x.request, admission.Prospect{
+		Wait: choice.Wait, Duty: choice.Duty, Unread: choice.Unread,
+	})
+	if verdict.Admit {
+		return nil
+	}
+	g.log.Emit(
+		eventlog.TurnedAway, x.request.ID, verdict.Reason, choice.Runner.ID, choice.Wait.Milliseconds(), choice.Duty,
+		verdict.RetryAfter.Milliseconds(),
+	)
+	return &lifecycle.NoneFree{Reason: verdict.Reason, RetryAfter: verdict.RetryAfter}
+}
+
 // placeRetry is how soon a request that waits for a runner looks again without news.
 const placeRetry = 100 * time.Millisecond
 
