Reset calls that are given up, wait in full before ordering a runner of a lost VM, and tell adapters as they arrive

(2) The property test of ownership failed in two ways: a VM counted the former owner's validity from the first absence that it saw, although the key had come back unseen, and a process forgot the wait of the one before it. (3) The property test of the ledger showed that nobody was told when an adapter arrived: requests waited 150 ms and gave up on the runner.

--- a/coordination/ownership/desk.go
+++ b/coordination/ownership/desk.go
@@ -12,6 +12,8 @@
 	VM string
 	// Incarnation identifies the owner's process.
 	Incarnation string
+	// Settled tells that no earlier owner can give orders any more.
+	Settled bool
 	// Revision is that of the claim's write, and serves as the fencing number.
 	Revision uint64
 }
@@ -165,7 +167,7 @@
 	case !claimed:
 		return Wanted{Runner: runner}, d.preferred(runner) == d.self
 	case claim.VM == d.self:
-		return Wanted{Runner: runner, Revision: claim.Revision}, claim.Incarnation != d.incarnation
+		return d.wantOwn(now, runner, claim)
 	case d.members[claim.VM]:
 		return Wanted{}, false
 	}
@@ -177,14 +179,30 @@
 	if now.Sub(missing) < d.bounds.Settle || d.preferred(runner) != d.self {
 		return Wanted{}, false
 	}
-	// The former owner may go on until its validity ends, since its key can be taken away without its knowledge.
-	wait := max(0, missing.Add(d.bounds.Validity).Sub(now)) + d.bounds.Pause
-	return Wanted{Runner: runner, Revision: claim.Revision, Absent: claim.VM, Wait: wait}, true
+	// The former owner may have heard the store until just before the claim is written: its key may have come and gone
+	// unseen, and can be taken away without its knowledge.
+	return Wanted{Runner: runner, Revision: claim.Revision, Absent: claim.VM, Wait: d.takeOver()}, true
+}
+
+// takeOver is the time from a claim until the former owner can have given its last order, and the pause after it.
+func (d *Desk) takeOver() time.Duration { return d.bounds.Validity + d.bounds.Pause }
+
+// wantOwn renews a claim that an earlier process of this VM wrote, and settles one whose wait is over. A process does not
+// know how much of the wait an earlier one has spent.
+func (d *Desk) wantOwn(now time.Time, runner string, claim Claim) (Wanted, bool) {
+	w := Wanted{Runner: runner, Revision: claim.Revision}
+	if claim.Incarnation == d.incarnation {
+		return w, !claim.Settled && !now.Before(d.waits[runner])
+	}
+	if !claim.Settled {
+		w.Wait = d.takeOver()
+	}
+	return w, true
 }
 
 // Won notes that this VM's claim was written.
 func (d *Desk) Won(now time.Time, w Wanted, revision uint64) {
-	d.claims[w.Runner] = Claim{VM: d.self, Incarnation: d.incarnation, Revision: revision}
+	d.claims[w.Runner] = Claim{VM: d.self, Incarnation: d.incarnation, Settled: w.Wait == 0, Revision: revision}
 	d.waits[w.Runner] = now.Add(w.Wait)
 }
 
--- a/state/orders/ledger.go
+++ b/state/orders/ledger.go
@@ -146,6 +146,7 @@
 
 // Need asks for an adapter, and reports whether it is there already.
 func (l *Ledger) Need(now time.Time, unit fleet.Unit) bool {
+	l.Arrive(now)
 	l.used[unit] = now
 	if l.holdings.Has(unit) && l.unloading != unit.Model {
 		return true
@@ -198,12 +199,14 @@
 	return present
 }
 
-// arrive takes the adapters whose time has come as held.
-func (l *Ledger) arrive(now time.Time) {
+// Arrive takes the adapters whose time has come as held, and reports whether there are any.
+func (l *Ledger) Arrive(now time.Time) bool {
+	arrived := false
 	for unit, at := range l.coming {
 		if at.IsZero() || now.Before(at) {
 			continue
 		}
+		arrived = true
 		delete(l.coming, unit)
 		for i := range l.holdings.Models {
 			if l.holdings.Models[i].Model == unit.Model && !slices.Contains(l.holdings.Models[i].Adapters, unit.Adapter) {
@@ -211,11 +214,15 @@
 			}
 		}
 	}
+	return arrived
 }
 
+// Coming reports whether adapters are on their way.
+func (l *Ledger) Coming() bool { return len(l.coming) > 0 }
+
 // Next returns the order to send now, or false when there is none; its answer must be given to Answered.
 func (l *Ledger) Next(now time.Time, holder string, fence uint64) (fleet.Order, bool) {
-	l.arrive(now)
+	l.Arrive(now)
 	l.expire(now)
 	if !l.known || l.sent != nil || l.Busy() {
 		return fleet.Order{}, false
@@ -348,7 +355,7 @@
 		l.sequence++
 		l.accepted(now, *order)
 	case fleet.OrderHeld:
-		l.held(*order)
+		l.held(now, *order)
 	case fleet.OrderNotSent:
 	default:
 		// The order may have been accepted, or the sequence is not what was thought: only a new report tells.
@@ -375,7 +382,7 @@
 // adapterTime is when a loading adapter is taken as held; source: the users' sheets (at most 9.7 ms when few load).
 const adapterTime = 10 * time.Millisecond
 
-func (l *Ledger) held(order fleet.Order) {
+func (l *Ledger) held(now time.Time, order fleet.Order) {
 	unit := order.Unit
 	switch {
 	case unit.Adapter != "" && order.Verb == fleet.Unload:
@@ -383,7 +390,7 @@
 		l.sequence++
 		l.removeAdapter(unit)
 	case unit.Adapter != "":
-		l.coming[unit] = time.Unix(0, 1)
+		l.coming[unit] = now
 		delete(l.needs, unit)
 	default:
 		l.known = false
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -60,6 +60,8 @@
 	owners     *ownership.Desk
 	ordered    map[string]*orderedRunner
 	loadPlaces map[string]bool
+	// orphans is since when runners that this VM owns have had no entry.
+	orphans map[string]time.Time
 	meters     map[string]*allocation.Meter
 	uses       map[gathering.Place]time.Time
 	gathered   *gathering.Table
@@ -108,6 +110,7 @@
 		}),
 		ordered:    make(map[string]*orderedRunner),
 		loadPlaces: make(map[string]bool),
+		orphans:    make(map[string]time.Time),
 		meters:     make(map[string]*allocation.Meter),
 		uses:       make(map[gathering.Place]time.Time),
 		gathered:   gathering.NewTable(),
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -47,6 +47,8 @@
 type ownerValue struct {
 	VM          string `json:"vm"`
 	Incarnation string `json:"incarnation"`
+	// Settled tells that no earlier owner can give orders any more.
+	Settled bool `json:"settled"`
 }
 
 // register keeps the VM's key in the store.
@@ -129,7 +131,9 @@
 		g.log.Emit(eventlog.OwnerChanged, runner, "unreadable: "+err.Error(), item.Revision, 0)
 		return
 	}
-	g.owners.Claimed(runner, ownership.Claim{VM: value.VM, Incarnation: value.Incarnation, Revision: item.Revision})
+	g.owners.Claimed(runner, ownership.Claim{
+		VM: value.VM, Incarnation: value.Incarnation, Settled: value.Settled, Revision: item.Revision,
+	})
 }
 
 // claim takes over the runners that this VM should own, and runs a duty for each that it owns.
@@ -143,6 +147,7 @@
 		for _, w := range wanted {
 			g.claimOne(ctx, w)
 		}
+		g.releaseOrphans(ctx)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		for _, id := range runners {
@@ -170,7 +175,7 @@
 }
 
 func (g *Gateway) claimOne(ctx context.Context, w ownership.Wanted) {
-	value, err := json.Marshal(ownerValue{VM: g.settings.Name, Incarnation: g.incarnation})
+	value, err := json.Marshal(ownerValue{VM: g.settings.Name, Incarnation: g.incarnation, Settled: w.Wait == 0})
 	if err != nil {
 		g.log.Emit(eventlog.OwnerChanged, w.Runner, err.Error(), 0, 0)
 		return
@@ -202,8 +207,33 @@
 	}
 }
 
-// releaseGone removes the owner key of a runner that is gone, if this VM owned it.
-func (g *Gateway) releaseGone(ctx context.Context, runner string, fence uint64) {
+// orphanTime is how long the owner key of a runner without an entry is kept: longer than any outage seen.
+const orphanTime = time.Minute
+
+// releaseOrphans removes the owner keys of this VM's runners that have been gone for long.
+func (g *Gateway) releaseOrphans(ctx context.Context) {
+	now := clock.Now()
+	orphans := make(map[string]uint64)
+	g.mu.Lock()
+	for _, runner := range g.owners.Runners() {
+		fence, mine := g.owners.Authority(now, runner)
+		switch since, noted := g.orphans[runner]; {
+		case g.directory.Get(runner) != nil || !mine:
+			delete(g.orphans, runner)
+		case !noted:
+			g.orphans[runner] = now
+		case now.Sub(since) >= orphanTime:
+			orphans[runner] = fence
+		}
+	}
+	g.mu.Unlock()
+	for runner, fence := range orphans {
+		g.release(ctx, runner, fence)
+	}
+}
+
+// release removes the owner key of a runner.
+func (g *Gateway) release(ctx context.Context, runner string, fence uint64) {
 	_, err := g.store.Commit(ctx, platform.Transaction{
 		Conditions: []platform.Condition{{Key: ownersPrefix + runner, Revision: fence}},
 		Removals:   []string{ownersPrefix + runner},
--- a/transport/gateway/orders.go
+++ b/transport/gateway/orders.go
@@ -97,11 +97,7 @@
 	runner := g.directory.Get(id)
 	if g.owners.Owner(id) != g.settings.Name || runner == nil {
 		delete(g.ordered, id)
-		fence, mine := g.owners.Authority(now, id)
 		g.mu.Unlock()
-		if runner == nil && mine {
-			g.releaseGone(ctx, id, fence)
-		}
 		return 0, false
 	}
 	engine := g.engineOf(runner)
@@ -112,6 +108,9 @@
 		return idleTick, true
 	}
 	o.ledger.SetEngine(engine.engine)
+	if o.ledger.Arrive(now) {
+		g.publish(now, id, o)
+	}
 	address := runner.Address
 	if g.reportDue(now, runner, o) {
 		o.reported = now
@@ -132,11 +131,13 @@
 		return coldRetry, true
 	}
 	order, ok := o.ledger.Next(now, g.settings.Name, fence)
-	busy := o.ledger.Busy() || !o.ledger.Known()
+	busy, coming := o.ledger.Busy() || !o.ledger.Known(), o.ledger.Coming()
 	g.mu.Unlock()
 	switch {
 	case ok:
 		return g.giveOrder(ctx, id, address, o, order), true
+	case coming:
+		return adapterPoll, true
 	case busy:
 		return busyPoll, true
 	default:
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -96,7 +96,7 @@
 		c.keep(address, conn, maxIdleTime)
 		return nil, &Error{Stage: StageDial, Cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { closeConn(conn) })
+	stop := context.AfterFunc(ctx, func() { resetConn(conn) })
 	exchange := &Exchange{
 		Response: &protocol.Response{},
 		client:   c,
@@ -261,7 +261,7 @@
 	}
 	e.ended = true
 	e.stop()
-	closeConn(e.conn)
+	resetConn(e.conn)
 }
 
 func (c *Client) connect(address netip.AddrPort, fresh bool) (network.Conn, error) {
@@ -338,5 +338,17 @@
 	}
 }
 
+// resetConn closes a connection so that bytes which have not reached the other end never will: a request that was given
+// up during a network partition must not arrive when it heals.
+func resetConn(conn network.Conn) {
+	if c, ok := conn.(*connection); ok {
+		if tcp, isTCP := c.Conn.(*net.TCPConn); isTCP {
+			// A failure leaves an ordinary close.
+			_ = tcp.SetLinger(0)
+		}
+	}
+	closeConn(conn)
+}
+
 // closeConn drops the error, since nothing more is expected of a connection that is given up.
 func closeConn(conn network.Conn) { _ = conn.Close() }
--- /dev/null
+++ b/transport/httpcall/client_test.go
@@ -0,0 +1,147 @@
+package httpcall
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"gotest.tools/v3/assert"
+
+	"github.com/zinniaroute/zinniaroute/transport/group"
+)
+
+// peer is an endpoint that a test drives by hand.
+type peer struct {
+	listener net.Listener
+	conns    chan net.Conn
+}
+
+func newPeer(t *testing.T) (*peer, netip.AddrPort) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p := &peer{listener: listener, conns: make(chan net.Conn, 8)}
+	g, err := group.New(context.Background())
+	assert.NilError(t, err)
+	g.Run("accept", func(context.Context) {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			p.conns <- conn
+		}
+	})
+	t.Cleanup(func() {
+		assert.Check(t, listener.Close())
+		assert.Check(t, g.Stop())
+	})
+	return p, netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// serve answers the next connection's requests, one answer for each.
+func (p *peer) serve(t *testing.T, answers ...string) {
+	t.Helper()
+	g, err := group.New(context.Background())
+	assert.NilError(t, err)
+	g.Run("serve", func(context.Context) {
+		conn := <-p.conns
+		reader := bufio.NewReader(conn)
+		for _, answer := range answers {
+			readHead(reader)
+			if _, err := io.WriteString(conn, answer); err != nil {
+				return
+			}
+		}
+		_ = conn.Close()
+	})
+	t.Cleanup(func() { assert.Check(t, g.Stop()) })
+}
+
+func readHead(reader *bufio.Reader) {
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil || line == "\r\n" {
+			return
+		}
+	}
+}
+
+func TestAnAbortedCallIsReset(t *testing.T) {
+	p, address := newPeer(t)
+	client := NewClient(time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := client.Start(ctx, address, NewRequest("GET", address, "/", nil), Options{})
+	assert.ErrorContains(t, err, "deadline")
+	conn := <-p.conns
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.Copy(io.Discard, conn)
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
+
+func TestAnAnswerToAnotherRequestIsDropped(t *testing.T) {
+	p, address := newPeer(t)
+	p.serve(t, "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrongHTTP/1.1 200 OK\r\nX-Id: mine\r\n"+
+		"Content-Length: 5\r\n\r\nright")
+	client := NewClient(time.Second)
+	options := Options{Accept: func(h *protocol.ResponseHeader) bool { return h.Get("X-Id") == "mine" }}
+	call, err := client.Start(context.Background(), address, NewRequest("GET", address, "/", nil), options)
+	assert.NilError(t, err)
+	body, err := call.ReadAll(100)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "right")
+}
+
+func TestBodies(t *testing.T) {
+	long := strings.Repeat("x", 20_000)
+	tests := []struct {
+		name   string
+		answer string
+		body   string
+		broken bool
+	}{
+		{"fixed length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde", "abcde", false},
+		{"fixed length, long", "HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n" + long, long, false},
+		{"fixed length and more", "HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n" + long + "extra", long, false},
+		{"fixed length, cut", "HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n" + long[:9000], "", true},
+		{"until the end", "HTTP/1.1 200 OK\r\n\r\nabcde", "abcde", false},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n", "abcde", false},
+		{"chunks, cut", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n", "", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p, address := newPeer(t)
+			p.serve(t, test.answer)
+			client := NewClient(time.Second)
+			call, err := client.Start(context.Background(), address, NewRequest("GET", address, "/", nil), Options{})
+			assert.NilError(t, err)
+			body, err := call.ReadAll(1 << 20)
+			assert.Equal(t, err != nil, test.broken, "%v", err)
+			if !test.broken {
+				assert.Equal(t, string(body), test.body)
+			}
+		})
+	}
+}
+
+func TestAnEarlyAnswerToALongRequestIsRead(t *testing.T) {
+	p, address := newPeer(t)
+	p.serve(t, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+	client := NewClient(time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	request := NewRequest("POST", address, "/", make([]byte, 16<<20))
+	call, err := client.Start(ctx, address, request, Options{})
+	assert.NilError(t, err)
+	assert.Equal(t, call.Response.StatusCode(), 503)
+	call.Abort()
+}
