--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -213,7 +213,7 @@
 	RequestEnded = Event{
 		507, logrus.InfoLevel, "request ended",
 		[]string{
-			"request", "route", "unit", "outcome", "status", "reason", "runner", "runs", "ms", "predictedMs", "firstMs", "version",
+			"request", "route", "unit", "outcome", "status", "reason", "runner", "runs", "ms", "predictedMs", "beforeMs", "firstMs", "version",
 		},
 		"See docs/OPERATIONS.md.",
 	}
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -237,6 +237,14 @@
 	}
 }
 
+// before returns the time from the request's arrival to its last send, zero when it was not sent.
+func (x *exchange) before() time.Duration {
+	if x.sent.IsZero() {
+		return 0
+	}
+	return x.sent.Sub(x.request.Arrived)
+}
+
 // finish gives the caller the final answer that the machine decided on.
 func (x *exchange) finish(ctx context.Context, action lifecycle.Action) {
 	g := x.gateway
@@ -262,6 +270,6 @@
 	g.log.Emit(
 		eventlog.RequestEnded, x.request.ID, x.route.Name, x.request.Unit.String(), string(action), status,
 		x.machine.Reason(), x.machine.Endpoint(), x.machine.Runs(), now.Sub(x.request.Arrived).Milliseconds(),
-		x.choice.Wait.Milliseconds(), x.first.Milliseconds(), x.version,
+		x.choice.Wait.Milliseconds(), x.before().Milliseconds(), x.first.Milliseconds(), x.version,
 	)
 }
