Let one VM read the store and hand it on to the others

A VM reads the store itself at once when an exchange with the gathering VM fails, or when that one has not heard the store for 1.5 s.

--- a/coordination/gathering/table.go
+++ b/coordination/gathering/table.go
@@ -1,6 +1,7 @@
 package gathering
 
 import (
+	"reflect"
 	"time"
 
 	"github.com/zinniaroute/zinniaroute/state/allocation"
@@ -42,13 +43,59 @@
 // Table keeps the latest word of each VM.
 type Table struct {
 	words map[string]entry
+	// changes is the number of changes of runners so far, and changed the last one of each runner.
+	changes uint64
+	changed map[string]uint64
+	latest  map[string]Owned
+	// sums are the shares of all VMs as of summed.
+	sums   map[string]dispatch.Share
+	summed time.Time
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{words: make(map[string]entry)} }
+func NewTable() *Table {
+	return &Table{
+		words: make(map[string]entry), changed: make(map[string]uint64), latest: make(map[string]Owned),
+	}
+}
 
 // Put takes in a VM's word.
-func (t *Table) Put(now time.Time, vm string, word Word) { t.words[vm] = entry{word: word, at: now} }
+func (t *Table) Put(now time.Time, vm string, word Word) {
+	t.words[vm] = entry{word: word, at: now}
+	for runner, owned := range word.Owned {
+		before, known := t.latest[runner]
+		if known && before.AsOf.After(owned.AsOf) {
+			continue
+		}
+		t.latest[runner] = owned
+		if !known || !before.same(owned) {
+			t.changes++
+			t.changed[runner] = t.changes
+		}
+	}
+}
+
+func (o Owned) same(other Owned) bool {
+	return o.Incarnation == other.Incarnation && o.Moving == other.Moving && reflect.DeepEqual(o.Holdings, other.Holdings)
+}
+
+// OwnedSince returns the runners that have changed after a number of changes, and the number of changes so far.
+func (t *Table) OwnedSince(now time.Time, heard uint64) (map[string]Owned, uint64) {
+	news := make(map[string]Owned)
+	owned := t.Owned(now)
+	for runner, change := range t.changed {
+		word, ok := owned[runner]
+		if !ok {
+			delete(t.changed, runner)
+			delete(t.latest, runner)
+			continue
+		}
+		if change > heard {
+			news[runner] = word
+		}
+	}
+	return news, t.changes
+}
 
 func (t *Table) live(now time.Time, use func(vm string, word *Word)) {
 	for vm, e := range t.words {
@@ -66,20 +113,30 @@
 	return len(t.words)
 }
 
+// sumTime is the time for which the sums of shares are used again.
+const sumTime = 100 * time.Millisecond
+
 // Shares returns the sums of what all VMs but one have sent to each endpoint.
 func (t *Table) Shares(now time.Time, except string) map[string]dispatch.Share {
-	sums := make(map[string]dispatch.Share)
-	t.live(now, func(vm string, word *Word) {
-		if vm == except {
-			return
-		}
-		for runner, share := range word.Shares {
-			sum := sums[runner]
-			sum.Add(share)
-			sums[runner] = sum
+	if t.sums == nil || now.Sub(t.summed) >= sumTime {
+		t.sums, t.summed = make(map[string]dispatch.Share), now
+		t.live(now, func(_ string, word *Word) {
+			for runner, share := range word.Shares {
+				sum := t.sums[runner]
+				sum.Add(share)
+				t.sums[runner] = sum
+			}
+		})
+	}
+	others := make(map[string]dispatch.Share, len(t.sums))
+	own := t.words[except].word.Shares
+	for runner, sum := range t.sums {
+		sum.Subtract(own[runner])
+		if sum != (dispatch.Share{}) {
+			others[runner] = sum
 		}
-	})
-	return sums
+	}
+	return others
 }
 
 // Demand returns the sum of all VMs' demand for the models of a service.
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/zinniaroute/zinniaroute/coordination/relay"
 	"github.com/zinniaroute/zinniaroute/state/allocation"
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
@@ -42,6 +43,11 @@
 	Demand map[string]allocation.Demand `cbor:"3,keyasint,omitempty"`
 	Uses   []Use                        `cbor:"4,keyasint,omitempty"`
 	Owned  []Owned                      `cbor:"5,keyasint,omitempty"`
+	// Known is the store's revision up to which the VM knows everything.
+	Known uint64 `cbor:"6,keyasint,omitempty"`
+	// Gatherer and Heard name the process that last answered and how many changes of runners it had told by then.
+	Gatherer string `cbor:"7,keyasint,omitempty"`
+	Heard    uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Summary is what the gathering VM tells another.
@@ -56,6 +62,13 @@
 	Uses []Use `cbor:"4,keyasint,omitempty"`
 	// Members is the number of VMs that take part.
 	Members int `cbor:"5,keyasint"`
+	// View is what has changed in the store, absent when the gathering VM does not know.
+	View *relay.View `cbor:"6,keyasint,omitempty"`
+	// Grace is the time in which runners that the view lacks may come back.
+	Grace time.Duration `cbor:"7,keyasint,omitempty"`
+	// Gatherer names the answering process, and Told is the number of changes of runners that it has told.
+	Gatherer string `cbor:"8,keyasint"`
+	Told     uint64 `cbor:"9,keyasint"`
 }
 
 // NeedRequest asks for an adapter on a runner.
--- a/state/dispatch/load.go
+++ b/state/dispatch/load.go
@@ -55,6 +55,15 @@
 	}
 }
 
+// Subtract takes another share off, which may have changed since it was added.
+func (s *Share) Subtract(other Share) {
+	s.Running = max(0, s.Running-other.Running)
+	s.Reading = max(0, s.Reading-other.Reading)
+	for i, tokens := range other.Pending {
+		s.Pending[i] = max(0, s.Pending[i]-tokens)
+	}
+}
+
 // rankOf returns the place of a rank among those that are told apart.
 func rankOf(rank int) int { return min(max(rank, 0), ranks-1) }
 
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -45,7 +45,7 @@
 	call   *httpcall.Exchange
 	// body is a whole answer that has been read.
 	body  []byte
-	relay *relay
+	relay *eventRelay
 	sent  time.Time
 	// first is the time from the last send to the first byte of the answer.
 	first time.Duration
@@ -214,7 +214,7 @@
 func (x *exchange) passEvents(ctx context.Context) lifecycle.Action {
 	if x.relay == nil {
 		platform.CopyHead(&x.call.Response.Header, &x.context.Response.Header)
-		x.relay = newRelay(x.context)
+		x.relay = newEventRelay(x.context)
 	}
 	err := x.relay.copy(x.call.Body())
 	switch {
--- a/transport/gateway/follow.go
+++ b/transport/gateway/follow.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"reflect"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/zinniaroute/zinniaroute/coordination/relay"
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/platform"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
@@ -21,23 +23,25 @@
 	watchPause = 500 * time.Millisecond
 	// storeRetry is the pause after a failed call to the store.
 	storeRetry = 200 * time.Millisecond
+	// restCheck is how often a VM that does not read the store looks whether it must.
+	restCheck = 100 * time.Millisecond
+	// relayFresh is the age up to which what another VM handed on is relied upon; exchanges are a quarter second apart.
+	relayFresh = time.Second
 	// returnGrace is the time in which entries that lapsed during an outage of the store come back.
 	returnGrace = 2500 * time.Millisecond
 )
 
-// follow keeps the configuration and the directory as the store has them.
+// follow keeps the configuration and the directory as the store has them, unless the gathering VM hands them on.
 func (g *Gateway) follow(ctx context.Context) error {
 	lost := false
 	for ctx.Err() == nil {
-		revision, err := g.list(ctx, lost)
-		if err == nil {
-			if lost {
-				g.log.Emit(eventlog.StoreBack, revision)
-			}
-			err = g.watch(ctx, revision)
+		if g.resting(clock.Now()) {
+			group.Sleep(ctx, restCheck)
+			continue
 		}
-		if ctx.Err() != nil {
-			return nil
+		err := g.readStore(ctx, &lost)
+		if ctx.Err() != nil || err == nil {
+			continue
 		}
 		if !errors.Is(err, platform.ErrHistoryLost) {
 			if !lost {
@@ -50,6 +54,29 @@
 	return nil
 }
 
+// resting reports whether another VM hands on what the store says, so that this one need not read it.
+func (g *Gateway) resting(now time.Time) bool {
+	if g.hub(now) == g.settings.Name {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return now.Sub(g.relayed) < relayFresh
+}
+
+// readStore lists the store and watches it until a call fails or another VM hands it on.
+func (g *Gateway) readStore(ctx context.Context, lost *bool) error {
+	revision, err := g.list(ctx, *lost)
+	if err != nil {
+		return err
+	}
+	if *lost {
+		g.log.Emit(eventlog.StoreBack, revision)
+		*lost = false
+	}
+	return g.watch(ctx, revision)
+}
+
 // list takes in everything that the store holds, and returns the revision from which a watch goes on.
 func (g *Gateway) list(ctx context.Context, afterOutage bool) (uint64, error) {
 	asked := clock.Now()
@@ -58,32 +85,52 @@
 		return 0, err
 	}
 	now := clock.Now()
-	present := make(map[string]bool)
-	listed := make(map[string]bool)
-	for _, item := range items {
-		g.apply(now, item)
-		listed[item.Key] = true
-		if id, ok := strings.CutPrefix(item.Key, platform.RunnersPrefix); ok {
-			present[id] = true
-		}
-	}
 	grace := time.Duration(0)
 	if afterOutage {
 		grace = returnGrace
 	}
 	g.mu.Lock()
+	g.graceUntil = now.Add(grace)
+	g.mu.Unlock()
+	present := make(map[string]bool, len(items))
+	for _, item := range items {
+		g.apply(now, item)
+		present[item.Key] = true
+	}
+	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.dropped(g.directory.Listed(now, present, grace))
-	g.forgetAbsent(now, listed)
-	g.heard = asked
-	g.owners.Heard(asked)
+	g.listed(now, present, grace)
+	g.relay.Listed(present, revision)
+	g.hear(asked, revision)
 	g.announce()
 	return revision, nil
 }
 
-// watch takes in changes until a call fails.
+// listed forgets what a complete listing lacks; the lock must be held.
+func (g *Gateway) listed(now time.Time, present map[string]bool, grace time.Duration) {
+	runners := make(map[string]bool)
+	for key := range present {
+		if id, ok := strings.CutPrefix(key, platform.RunnersPrefix); ok {
+			runners[id] = true
+		}
+	}
+	g.dropped(g.directory.Listed(now, runners, grace))
+	g.forgetAbsent(now, present)
+}
+
+// hear notes that everything up to a revision is known, as the store was asked for it; the lock must be held.
+func (g *Gateway) hear(asked time.Time, revision uint64) {
+	g.known = max(g.known, revision)
+	g.relay.Heard(asked, revision)
+	if asked.After(g.heard) {
+		g.heard = asked
+	}
+	g.owners.Heard(asked)
+}
+
+// watch takes in changes until a call fails or another VM hands them on.
 func (g *Gateway) watch(ctx context.Context, revision uint64) error {
-	for {
+	for !g.resting(clock.Now()) {
 		asked := clock.Now()
 		events, next, err := g.store.Watch(ctx, "", revision, watchWait)
 		if err != nil {
@@ -95,8 +142,7 @@
 		}
 		revision = max(revision, next)
 		g.mu.Lock()
-		g.heard = asked
-		g.owners.Heard(asked)
+		g.hear(asked, revision)
 		g.dropped(g.directory.Expire(now))
 		if len(events) > 0 {
 			g.announce()
@@ -106,6 +152,32 @@
 			return ctx.Err()
 		}
 	}
+	return nil
+}
+
+// takeView takes in what another VM hands on.
+func (g *Gateway) takeView(now time.Time, v *relay.View, grace time.Duration) {
+	present := make(map[string]bool, len(v.Items))
+	for _, item := range v.Items {
+		present[item.Key] = true
+		g.apply(now, platform.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if v.Full {
+		g.listed(now, present, grace)
+	}
+	g.dropped(g.directory.Expire(now))
+	g.known = max(g.known, v.Revision)
+	asked := now.Add(-v.Age)
+	g.relayed = now
+	if asked.After(g.heard) {
+		g.heard = asked
+	}
+	g.owners.Heard(asked)
+	if len(v.Items) > 0 {
+		g.announce()
+	}
 }
 
 // forgetAbsent forgets members, owners and load places whose keys a listing no longer has; the lock must be held.
@@ -137,14 +209,23 @@
 
 // apply takes in one item or event of the store.
 func (g *Gateway) apply(now time.Time, item platform.Item) {
+	news := true
 	switch {
 	case item.Key == platform.ConfigurationKey && !item.Deleted:
 		g.configure(item)
 	case strings.HasPrefix(item.Key, platform.RunnersPrefix):
-		g.note(now, item)
+		news = g.note(now, item)
 	default:
 		g.noteOwn(now, item)
 	}
+	handed := relay.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if news {
+		g.relay.Put(handed)
+		return
+	}
+	g.relay.Touch(handed)
 }
 
 // noteOwn takes in one of the system's own keys.
@@ -175,23 +256,29 @@
 	g.log.Emit(eventlog.ConfigurationInForce, table.Version, item.Revision, table.Size())
 }
 
-func (g *Gateway) note(now time.Time, item platform.Item) {
+// note takes in a runner's entry and reports whether it says more than that the runner is alive.
+func (g *Gateway) note(now time.Time, item platform.Item) bool {
 	id := strings.TrimPrefix(item.Key, platform.RunnersPrefix)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if item.Deleted {
+		delete(g.entries, id)
 		if change := g.directory.Remove(id); change != fleet.Same {
 			g.desk.Drop(id)
 			g.log.Emit(eventlog.RunnerListed, id, string(change), "", item.Revision)
 		}
-		return
+		return true
 	}
 	runner, err := platform.DecodeRunner(item.Key, item.Value, item.Revision)
 	if err != nil {
 		g.log.Emit(eventlog.RunnerUnreadable, id, item.Revision, err)
-		return
+		return true
 	}
 	if change := g.directory.Put(now, runner); change != fleet.Same {
 		g.log.Emit(eventlog.RunnerListed, id, string(change), runner.Service, item.Revision)
 	}
+	runner.Revision = 0
+	before, known := g.entries[id]
+	g.entries[id] = runner
+	return !known || !reflect.DeepEqual(before, runner)
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/zinniaroute/zinniaroute/coordination/gathering"
 	"github.com/zinniaroute/zinniaroute/coordination/ownership"
+	"github.com/zinniaroute/zinniaroute/coordination/relay"
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/platform"
 	"github.com/zinniaroute/zinniaroute/settings"
@@ -56,7 +57,19 @@
 	budgets   map[string]*lifecycle.SharedBudget
 	random    *rand.Rand
 	// changed is closed and replaced when the directory has changed.
-	changed    chan struct{}
+	changed chan struct{}
+	// relay is what this VM hands on of the store; known is the revision up to which it knows everything.
+	relay *relay.Log
+	known uint64
+	// relayed is when another VM last handed on what the store says.
+	relayed time.Time
+	// gatherer is the process that last answered an exchange, and told the number of changes of runners it had told.
+	gatherer string
+	told     uint64
+	// graceUntil is the end of the time in which runners that a listing lacked may come back.
+	graceUntil time.Time
+	// entries are the runners' entries as last read, without their revisions.
+	entries    map[string]fleet.Runner
 	owners     *ownership.Desk
 	ordered    map[string]*orderedRunner
 	loadPlaces map[string]bool
@@ -108,6 +121,8 @@
 		owners: ownership.New(s.Name, incarnation, ownership.Bounds{
 			Validity: orderValidity, Pause: s.Bounds.TakeOver.Duration, Settle: settleTime,
 		}),
+		relay:      relay.NewLog(),
+		entries:    make(map[string]fleet.Runner),
 		ordered:    make(map[string]*orderedRunner),
 		loadPlaces: make(map[string]bool),
 		orphans:    make(map[string]time.Time),
--- a/transport/gateway/gather.go
+++ b/transport/gateway/gather.go
@@ -23,6 +23,8 @@
 	silentTime = 3 * time.Second
 	// planInterval is how often the gathering VM plans.
 	planInterval = 250 * time.Millisecond
+	// viewAge is the age up to which a VM hands on what the store says.
+	viewAge = 1500 * time.Millisecond
 	// useMemory is the time for which uses of adapters are told.
 	useMemory = 10 * time.Second
 )
@@ -58,6 +60,9 @@
 		if err != nil {
 			g.peers.silence(hub, clock.Now().Add(silentTime))
 			g.log.Emit(eventlog.PeerUnreachable, hub, err)
+			g.mu.Lock()
+			g.relayed = time.Time{}
+			g.mu.Unlock()
 			return
 		}
 		g.learn(clock.Now(), summary)
@@ -79,7 +84,10 @@
 
 // digest returns what this VM tells; the lock must be held.
 func (g *Gateway) digest(now time.Time) *vm.Digest {
-	d := &vm.Digest{VM: g.settings.Name, Shares: g.desk.Shares(now), Demand: make(map[string]allocation.Demand)}
+	d := &vm.Digest{
+		VM: g.settings.Name, Shares: g.desk.Shares(now), Demand: make(map[string]allocation.Demand),
+		Known: g.known, Gatherer: g.gatherer, Heard: g.told,
+	}
 	for service, meter := range g.meters {
 		d.Demand[service] = meter.Rates(now)
 	}
@@ -119,11 +127,22 @@
 	defer g.mu.Unlock()
 	g.gathered.Put(now, d.VM, word)
 	s := &vm.Summary{
-		Shares:  g.gathered.Shares(now, d.VM),
-		Members: g.gathered.Members(now),
-		Moves:   make(map[string]orders.Move),
+		Shares:   g.gathered.Shares(now, d.VM),
+		Members:  g.gathered.Members(now),
+		Moves:    make(map[string]orders.Move),
+		Gatherer: g.incarnation,
+		Grace:    max(0, g.graceUntil.Sub(now)),
+	}
+	if view, ok := g.relay.Since(now, d.Known, viewAge); ok && d.VM != g.settings.Name {
+		s.View = &view
 	}
-	for id, owned := range g.gathered.Owned(now) {
+	heard := d.Heard
+	if d.Gatherer != g.incarnation {
+		heard = 0
+	}
+	var news map[string]gathering.Owned
+	news, s.Told = g.gathered.OwnedSince(now, heard)
+	for id, owned := range news {
 		if mine[id] {
 			continue
 		}
@@ -145,8 +164,12 @@
 
 // learn takes in what the other VMs know.
 func (g *Gateway) learn(now time.Time, s *vm.Summary) {
+	if s.View != nil {
+		g.takeView(now, s.View, s.Grace)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.gatherer, g.told = s.Gatherer, s.Told
 	for _, runner := range g.directory.All() {
 		g.desk.SetOthers(runner.ID, s.Shares[runner.ID])
 	}
--- a/transport/gateway/orders.go
+++ b/transport/gateway/orders.go
@@ -15,7 +15,7 @@
 
 const (
 	// busyPoll is how often a runner is asked for its report while an order is under way or its state is not known.
-	busyPoll = 100 * time.Millisecond
+	busyPoll = 200 * time.Millisecond
 	// quietPoll is how often it is asked otherwise, to find what no order explains.
 	quietPoll = 3 * time.Second
 	// idleTick bounds the wait for something to do.
--- a/transport/gateway/relay.go
+++ b/transport/gateway/relay.go
@@ -31,8 +31,8 @@
 	Flush() error
 }
 
-// relay passes whole events of a stream on to the caller and remembers the last one.
-type relay struct {
+// eventRelay passes whole events of a stream on to the caller and remembers the last one.
+type eventRelay struct {
 	context *app.RequestContext
 	writer  chunkWriter
 	// lastEvent is the identifier of the last event that was passed on.
@@ -41,14 +41,14 @@
 	events    int
 }
 
-func newRelay(c *app.RequestContext) *relay {
+func newEventRelay(c *app.RequestContext) *eventRelay {
 	writer := resp.NewChunkedBodyWriter(&c.Response, c.GetWriter())
 	c.Response.HijackWriter(writer)
-	return &relay{context: c, writer: writer, lastID: -1}
+	return &eventRelay{context: c, writer: writer, lastID: -1}
 }
 
 // copy passes events on until the stream ends; events that an earlier run delivered are left out.
-func (r *relay) copy(body io.Reader) error {
+func (r *eventRelay) copy(body io.Reader) error {
 	var pending []byte
 	piece := make([]byte, pieceBytes)
 	for {
@@ -75,7 +75,7 @@
 }
 
 // pass writes whole events to the caller at once.
-func (r *relay) pass(data []byte) error {
+func (r *eventRelay) pass(data []byte) error {
 	fresh := make([]byte, 0, len(data))
 	for len(data) > 0 {
 		end := bytes.Index(data, []byte("\n\n")) + 2
@@ -104,7 +104,7 @@
 }
 
 // isNew reports whether an event has not been passed on yet, and remembers it.
-func (r *relay) isNew(event []byte) bool {
+func (r *eventRelay) isNew(event []byte) bool {
 	text, named := eventID(event)
 	if !named {
 		return true
