--- /dev/null
+++ b/integration/gateway_harness_test.go
@@ -0,0 +1,279 @@
+package integration
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/zinniaroute/zinniaroute/standin/metadata"
+	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
+	"github.com/zinniaroute/zinniaroute/transport/group"
+	"github.com/zinniaroute/zinniaroute/transport/httpserve"
+)
+
+// deployment is a metadata store, runners and gateways; the gateways are real processes.
+type deployment struct {
+	*system
+	group    *group.Group
+	store    *metadata.Server
+	storeAt  netip.AddrPort
+	runners  map[string]*modelrunner.Runner
+	gateways map[string]gatewayNode
+	beats    map[string]context.CancelFunc
+}
+
+type gatewayNode struct {
+	callers   netip.AddrPort
+	readiness netip.AddrPort
+	settings  string
+}
+
+const (
+	testHost     = "shop.example"
+	modelPath    = "/models/chat"
+	resumePath   = "/resume/chat"
+	unsafePath   = "/book/one"
+	safePath     = "/look/one"
+	modelService = "models"
+	plainService = "plain"
+)
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	httpserve.QuietLibrary()
+	g, err := group.New(context.Background())
+	assert.NilError(t, err)
+	d := &deployment{
+		system: &system{t: t, directory: t.TempDir(), processes: make(map[string]*process)},
+		group:  g, store: metadata.NewServer(),
+		runners: make(map[string]*modelrunner.Runner), gateways: make(map[string]gatewayNode),
+		beats: make(map[string]context.CancelFunc),
+	}
+	t.Cleanup(func() {
+		d.stop()
+		_ = g.Stop()
+	})
+	listener := listen(t)
+	d.storeAt = netip.MustParseAddrPort(listener.Addr().String())
+	d.store.Start(g, listener)
+	d.configure(1, 10_000)
+	return d
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", freeAddress(t).String())
+	assert.NilError(t, err)
+	return listener
+}
+
+// configure writes a configuration with the routes of the tests and a time limit for streams.
+func (d *deployment) configure(version, timeoutMS int, more ...map[string]any) {
+	models := []map[string]any{
+		{"name": "large", "weights_mb": 80, "load_s": 0.2, "warm_s": 0.1, "disk_s": 0.1, "adapters": 9, "adapter_mb": 1},
+		{"name": "small", "weights_mb": 80, "load_s": 0.2, "warm_s": 0.1, "disk_s": 0.1, "adapters": 9, "adapter_mb": 1},
+	}
+	route := func(name, prefix, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": testHost, "prefix": prefix, "kind": kind, "timeout_ms": timeoutMS,
+			"target_latency_ms": 2000, "priority": 1, "service": service, "max_attempts": attempts,
+			"resumable": resumable, "gap_aim_ms": 600,
+		}
+	}
+	all := append([]map[string]any{
+		route("models", "/models/", "streaming", modelService, 1, false),
+		route("resume", "/resume/", "streaming", modelService, 3, true),
+		route("book", "/book/", "unsafe", plainService, 2, false),
+		route("look", "/look/", "safe", plainService, 2, false),
+	}, more...)
+	data, err := json.Marshal(map[string]any{
+		"version": version, "routes": all,
+		"services": []map[string]any{
+			{"name": modelService, "health_path": "/health", "max_connections": 100, "engine": map[string]any{
+				"slots": 8, "kv_capacity": 100_000, "models": models, "weights_mb": 200, "adapter_slots": 2, "loads_per_s": 5,
+			}},
+			{"name": plainService, "health_path": "/health", "max_connections": 100},
+		},
+		"limits": map[string]any{
+			"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+		},
+	})
+	assert.NilError(d.t, err)
+	d.store.Put("op/config", data)
+}
+
+// addRunner starts a runner that writes its entry several times a second.
+func (d *deployment) addRunner(id, service string, models ...string) *modelrunner.Runner {
+	options := modelrunner.Options{
+		ID: id, Service: service, Domain: "a", MemoryMB: 200, ModelMB: 80, AdapterSlots: 2,
+		LoadTime: 150 * time.Millisecond, Events: 5, Pause: 20 * time.Millisecond,
+	}
+	for _, name := range models {
+		options.Models = append(options.Models, modelrunner.Model{Name: name, Version: 1, Adapters: []string{}})
+	}
+	return d.addRunnerWith(options)
+}
+
+func (d *deployment) addRunnerWith(options modelrunner.Options) *modelrunner.Runner {
+	runner := modelrunner.New(options)
+	runner.Start(d.group, listen(d.t))
+	d.runners[options.ID] = runner
+	ctx, cancel := context.WithCancel(d.group.Context())
+	d.beats[options.ID] = cancel
+	d.group.Run("heartbeat", func(context.Context) {
+		_ = group.Every(ctx, 300*time.Millisecond, func(time.Time) { d.store.Put("servers/"+options.ID, runner.Entry()) })
+	})
+	return runner
+}
+
+const settingsText = `{
+  "name": %q, "domain": "a", "address": "127.0.0.1", "callers": %q, "readiness": %q, "ports": [%d, %d],
+  "store": %q, "memoryMB": 256,
+  "bounds": {
+    "contact": "3s", "drain": "2s", "grace": "8s", "takeOver": "3s", "repeatRatio": 0.2, "repeatSlack": 50,
+    "repeatWindow": "10s", "loadWindow": "5s", "loadOverage": 1.1
+  }
+}`
+
+// addGateway starts a gateway and waits until it is ready.
+func (d *deployment) addGateway(name string) gatewayNode {
+	d.t.Helper()
+	node := d.startGateway(name)
+	d.waitReady(name)
+	return node
+}
+
+// startGateway starts a gateway and does not wait for it.
+func (d *deployment) startGateway(name string) gatewayNode {
+	d.t.Helper()
+	first := freeAddress(d.t)
+	second := freeAddress(d.t)
+	for second.Port() != first.Port()+1 {
+		first, second = second, freeAddress(d.t)
+	}
+	node := gatewayNode{
+		callers: freeAddress(d.t), readiness: freeAddress(d.t), settings: filepath.Join(d.directory, name+".jsonc"),
+	}
+	text := fmt.Sprintf(
+		settingsText, name, node.callers, node.readiness, first.Port(), second.Port(), d.storeAt,
+	)
+	assert.NilError(d.t, os.WriteFile(node.settings, []byte(text), 0o600))
+	d.gateways[name] = node
+	d.start(name, "gateway", "--settings", node.settings)
+	return node
+}
+
+func (d *deployment) ready(name string) bool {
+	response, err := http.Get("http://" + d.gateways[name].readiness.String() + "/zinniaroute/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (d *deployment) waitReady(name string) {
+	d.t.Helper()
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		if d.ready(name) {
+			return poll.Success()
+		}
+		return poll.Continue("not ready")
+	}, poll.WithDelay(20*time.Millisecond), poll.WithTimeout(10*time.Second))
+}
+
+// waitRunners waits until a gateway serves a model and a plain request.
+func (d *deployment) waitRunners(name string) {
+	d.t.Helper()
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		if d.ask(name, modelPath, "large").status == 200 && d.ask(name, safePath, "").status == 200 {
+			return poll.Success()
+		}
+		return poll.Continue("not served")
+	}, poll.WithDelay(50*time.Millisecond), poll.WithTimeout(10*time.Second))
+}
+
+type reply struct {
+	status     int
+	body       string
+	seal       string
+	retryAfter string
+	err        error
+}
+
+// events returns the identifiers of the events of a streamed answer.
+func (r reply) events() string {
+	var ids []string
+	scanner := bufio.NewScanner(strings.NewReader(r.body))
+	for scanner.Scan() {
+		if id, ok := strings.CutPrefix(scanner.Text(), "id: "); ok {
+			ids = append(ids, id)
+		}
+	}
+	return strings.Join(ids, " ")
+}
+
+var (
+	attempts   = make(chan int, 1)
+	testClient = &http.Client{Transport: &http.Transport{DisableCompression: true}}
+)
+
+func init() { attempts <- 0 }
+
+func newRequest(ctx context.Context, node gatewayNode, path, model string, body []byte) *http.Request {
+	n := <-attempts
+	attempts <- n + 1
+	method := http.MethodPost
+	if path == safePath {
+		method = http.MethodGet
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+node.callers.String()+path, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	request.Host = testHost
+	request.Header.Set("X-Zinniaroute-Attempt-Id", fmt.Sprintf("attempt-%d", n))
+	request.Header.Set("X-Zinniaroute-Deadline-Ms", "8000")
+	if model != "" {
+		request.Header.Set("X-Zinniaroute-Model", model)
+		request.Header.Set("X-Zinniaroute-Token-Count", "100,50")
+		request.Header.Set("X-Zinniaroute-Prompt-Prefix", "a1:50,b2:50")
+	}
+	return request
+}
+
+func (d *deployment) ask(name, path, model string) reply {
+	return d.askBody(name, path, model, []byte("{}"))
+}
+
+func (d *deployment) askBody(name, path, model string, body []byte) reply {
+	response, err := testClient.Do(newRequest(context.Background(), d.gateways[name], path, model, body))
+	if err != nil {
+		return reply{err: err}
+	}
+	data, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	return reply{
+		status: response.StatusCode, body: string(data), err: err,
+		seal: response.Header.Get("X-Zinniaroute-Response-Seal"), retryAfter: response.Header.Get("Retry-After"),
+	}
+}
+
+func readLog(directory, name string) (string, error) {
+	data, err := os.ReadFile(filepath.Join(directory, name+".log"))
+	return string(data), err
+}
--- /dev/null
+++ b/integration/gateway_test.go
@@ -0,0 +1,301 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/zinniaroute/zinniaroute/standin/fault"
+	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
+)
+
+func calmDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := newDeployment(t)
+	d.addRunner("r1", modelService, "large", "small")
+	d.addRunner("r2", modelService, "large", "small")
+	d.addRunner("p1", plainService)
+	d.addRunner("p2", plainService)
+	d.addGateway("vm-1")
+	d.waitRunners("vm-1")
+	return d
+}
+
+func waitUntil(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if check() {
+			return poll.Success()
+		}
+		return poll.Continue("not yet: %s", what)
+	}, poll.WithDelay(20*time.Millisecond), poll.WithTimeout(15*time.Second))
+}
+
+func TestGatewayServesEveryKindOfRequest(t *testing.T) {
+	d := calmDeployment(t)
+	long := bytes.Repeat([]byte("x"), 100_000)
+	tests := []struct {
+		name, path, model string
+		body              []byte
+		status            int
+	}{
+		{"stream", modelPath, "large", []byte("{}"), 200},
+		{"stream with a long body", modelPath, "small", long, 200},
+		{"stream that may be resumed", resumePath, "small", []byte("{}"), 200},
+		{"unsafe", unsafePath, "", []byte("{}"), 200},
+		{"safe", safePath, "", nil, 200},
+		{"no route", "/nowhere/", "", nil, 404},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := d.askBody("vm-1", test.path, test.model, test.body)
+			assert.NilError(t, r.err)
+			assert.Equal(t, r.status, test.status)
+			assert.Equal(t, r.seal != "", test.status == 200)
+			if test.model != "" {
+				assert.Equal(t, r.events(), "1 2 3 4 5")
+			}
+		})
+	}
+}
+
+func TestGatewayHasAbsentAdaptersLoadedWithinTheirPlaces(t *testing.T) {
+	d := calmDeployment(t)
+	d.addGateway("vm-2")
+	d.waitRunners("vm-2")
+	waitUntil(t, "the runners have owners that know them", func() bool {
+		return d.ask("vm-1", modelPath, "large/a1").status == 200
+	})
+	for _, adapter := range []string{"a2", "a3", "a4", "a5", "a6", "a2", "a7", "a8", "a9"} {
+		for _, vm := range []string{"vm-1", "vm-2"} {
+			r := d.ask(vm, modelPath, "large/"+adapter)
+			if r.status == 503 {
+				// Both places of both runners were in use a moment ago.
+				waitUntil(t, adapter, func() bool { return d.ask(vm, modelPath, "large/"+adapter).status == 200 })
+			}
+		}
+	}
+	for name, runner := range d.runners {
+		assert.Assert(t, !runner.Overfull(), name)
+	}
+}
+
+func TestGatewayRetriesOnlyWhatMayRunAgain(t *testing.T) {
+	d := calmDeployment(t)
+	for _, id := range []string{"p1", "p2"} {
+		d.runners[id].Fail(1)
+	}
+	r := d.ask("vm-1", unsafePath, "")
+	assert.Equal(t, r.status, 500)
+	assert.Assert(t, r.seal != "", "a runner's own failure keeps its signature")
+	r = d.ask("vm-1", safePath, "")
+	assert.Equal(t, r.status, 200)
+	counts := make(map[string]int)
+	for _, id := range []string{"p1", "p2"} {
+		for _, run := range d.runners[id].Runs() {
+			counts[run.Attempt]++
+		}
+	}
+	for attempt, count := range counts {
+		assert.Assert(t, count <= 2, attempt)
+	}
+}
+
+func TestGatewayResumesABrokenStreamElsewhere(t *testing.T) {
+	d := calmDeployment(t)
+	for _, id := range []string{"r1", "r2"} {
+		d.runners[id].BreakAfter(2)
+	}
+	r := d.ask("vm-1", resumePath, "large")
+	if r.err != nil {
+		// The second run broke off too, after which no third runner is left.
+		r = d.ask("vm-1", resumePath, "large")
+	}
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.events(), "1 2 3 4 5")
+}
+
+func TestGatewayCutsABrokenStreamThatCannotGoOn(t *testing.T) {
+	d := calmDeployment(t)
+	for _, id := range []string{"r1", "r2"} {
+		d.runners[id].BreakAfter(2)
+	}
+	r := d.ask("vm-1", modelPath, "large")
+	assert.Assert(t, r.err != nil, "an answer that was cut must not look whole")
+}
+
+func TestGatewayCancelsTheWorkOfACallerThatLeft(t *testing.T) {
+	d := newDeployment(t)
+	runner := d.addRunnerWith(modelrunner.Options{
+		ID: "slow", Service: modelService, Domain: "a", MemoryMB: 200, ModelMB: 80, AdapterSlots: 2,
+		Events: 1000, Pause: 20 * time.Millisecond,
+		Models: []modelrunner.Model{{Name: "large", Version: 1, Adapters: []string{}}},
+	})
+	node := d.addGateway("vm-1")
+	var cancel context.CancelFunc
+	waitUntil(t, "a run", func() bool {
+		var ctx context.Context
+		ctx, cancel = context.WithCancel(context.Background())
+		response, err := testClient.Do(newRequest(ctx, node, modelPath, "large", nil))
+		if err != nil || response.StatusCode != 200 {
+			cancel()
+			return false
+		}
+		return true
+	})
+	cancel()
+	left := time.Now()
+	waitUntil(t, "the run is cancelled", func() bool {
+		runs := runner.Runs()
+		return len(runs) > 0 && runs[len(runs)-1].Cancelled
+	})
+	assert.Assert(t, time.Since(left) < 500*time.Millisecond, "cancelled after %v", time.Since(left))
+}
+
+func TestGatewayPutsAConfigurationInForce(t *testing.T) {
+	d := calmDeployment(t)
+	d.addGateway("vm-2")
+	d.waitRunners("vm-2")
+	d.configure(2, 10_000, map[string]any{
+		"name": "more", "host": testHost, "prefix": "/more/", "kind": "safe", "timeout_ms": 1000,
+		"target_latency_ms": 100, "priority": 1, "service": plainService, "max_attempts": 1,
+	})
+	written := time.Now()
+	for _, vm := range []string{"vm-1", "vm-2"} {
+		waitUntil(t, "the new route on "+vm, func() bool { return d.ask(vm, "/more/x", "").status == 200 })
+	}
+	assert.Assert(t, time.Since(written) < 2*time.Second, "in force after %v", time.Since(written))
+}
+
+func TestGatewaySendsNothingNewToALeavingRunner(t *testing.T) {
+	d := calmDeployment(t)
+	d.runners["p1"].Leave()
+	d.store.Put("servers/p1", d.runners["p1"].Entry())
+	told := time.Now()
+	for time.Since(told) < 2*time.Second {
+		d.ask("vm-1", safePath, "")
+	}
+	before := len(d.runners["p1"].Runs())
+	for range 50 {
+		assert.Equal(t, d.ask("vm-1", safePath, "").status, 200)
+	}
+	assert.Equal(t, len(d.runners["p1"].Runs()), before)
+}
+
+func TestGatewayServesWhileTheStoreIsAway(t *testing.T) {
+	d := calmDeployment(t)
+	d.store.Faults.Set(fault.Faults{Down: true})
+	for range 20 {
+		assert.Equal(t, d.ask("vm-1", modelPath, "large").status, 200)
+		assert.Equal(t, d.ask("vm-1", unsafePath, "").status, 200)
+	}
+	d.store.Faults.Set(fault.Faults{})
+	d.configure(2, 10_000, map[string]any{
+		"name": "back", "host": testHost, "prefix": "/back/", "kind": "safe", "timeout_ms": 1000,
+		"target_latency_ms": 100, "priority": 1, "service": plainService, "max_attempts": 1,
+	})
+	waitUntil(t, "the configuration written after the outage", func() bool {
+		return d.ask("vm-1", "/back/x", "").status == 200
+	})
+}
+
+func TestGatewayFollowsAStoreThatForgot(t *testing.T) {
+	d := calmDeployment(t)
+	d.store.Remove("servers/p1")
+	d.beats["p1"]()
+	d.store.Forget()
+	d.configure(2, 10_000, map[string]any{
+		"name": "after", "host": testHost, "prefix": "/after/", "kind": "safe", "timeout_ms": 1000,
+		"target_latency_ms": 100, "priority": 1, "service": plainService, "max_attempts": 1,
+	})
+	waitUntil(t, "the route", func() bool { return d.ask("vm-1", "/after/x", "").status == 200 })
+}
+
+func TestGatewayIgnoresEntriesThatCannotBeRead(t *testing.T) {
+	d := calmDeployment(t)
+	for key, value := range map[string]string{
+		"servers/bad-1": "not json", "servers/bad-2": `{"service":7}`, "servers/bad-3": `{"service":"plain","address":"x"}`,
+		"servers/bad-4": `{"service":"plain","address":"127.0.0.1:1","state":"odd"}`,
+	} {
+		d.store.Put(key, []byte(value))
+	}
+	for range 30 {
+		assert.Equal(t, d.ask("vm-1", safePath, "").status, 200)
+	}
+}
+
+func TestGatewayStopsWithoutCuttingStreams(t *testing.T) {
+	d := calmDeployment(t)
+	var wait sync.WaitGroup
+	replies := make([]reply, 20)
+	for i := range replies {
+		wait.Go(func() { replies[i] = d.ask("vm-1", modelPath, "large") })
+	}
+	d.processes["vm-1"].signal(syscall.SIGTERM)
+	waitUntil(t, "not ready", func() bool { return !d.ready("vm-1") })
+	wait.Wait()
+	for _, r := range replies {
+		assert.NilError(t, r.err)
+		assert.Equal(t, r.events(), "1 2 3 4 5")
+	}
+	assert.NilError(t, d.processes["vm-1"].command.Wait())
+}
+
+func TestGatewayReadsItsSettingsAgain(t *testing.T) {
+	d := calmDeployment(t)
+	d.processes["vm-1"].signal(syscall.SIGHUP)
+	for range 20 {
+		assert.Equal(t, d.ask("vm-1", modelPath, "large").status, 200)
+	}
+	waitUntil(t, "the reload is logged", func() bool { return strings.Contains(d.logOf("vm-1"), `"event":104`) })
+}
+
+func TestGatewayThatWasKilledOrdersItsRunnersAgainAtOnce(t *testing.T) {
+	d := calmDeployment(t)
+	waitUntil(t, "the first adapter", func() bool { return d.ask("vm-1", modelPath, "large/a1").status == 200 })
+	d.processes["vm-1"].kill()
+	d.start("vm-1", "gateway", "--settings", d.gateways["vm-1"].settings)
+	d.waitReady("vm-1")
+	began := time.Now()
+	waitUntil(t, "another adapter", func() bool { return d.ask("vm-1", modelPath, "large/a9").status == 200 })
+	assert.Assert(t, time.Since(began) < 6*time.Second, "ordered after %v", time.Since(began))
+	for _, id := range []string{"r1", "r2"} {
+		_, fences := d.runners[id].Orders()
+		for i := 1; i < len(fences); i++ {
+			assert.Assert(t, fences[i] >= fences[i-1])
+		}
+	}
+}
+
+func TestGatewayWithoutAConfigurationIsNotReadyAndRefuses(t *testing.T) {
+	d := newDeployment(t)
+	d.store.Remove("op/config")
+	node := d.startGateway("vm-1")
+	waitUntil(t, "the process answers 503", func() bool {
+		response, err := http.Get("http://" + node.callers.String() + safePath)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == 503 && response.Header.Get("Retry-After") != ""
+	})
+	assert.Assert(t, !d.ready("vm-1"))
+	d.configure(1, 10_000)
+	d.waitReady("vm-1")
+}
+
+func (d *deployment) logOf(name string) string {
+	data, err := readLog(d.directory, name)
+	if err != nil {
+		return ""
+	}
+	return data
+}
--- /dev/null
+++ b/standin/metadata/server.go
@@ -0,0 +1,134 @@
+package metadata
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/zinniaroute/zinniaroute/standin/fault"
+	"github.com/zinniaroute/zinniaroute/transport/group"
+	"github.com/zinniaroute/zinniaroute/transport/httpserve"
+)
+
+const (
+	pageItems = 500
+	maxWait   = 30 * time.Second
+)
+
+// Server answers the store's calls.
+type Server struct {
+	Faults fault.Switch
+	store  *store
+}
+
+// NewServer returns a server with an empty store.
+func NewServer() *Server { return &Server{store: newStore()} }
+
+// Start serves on a listener as a duty of the group.
+func (s *Server) Start(g *group.Group, listener net.Listener) {
+	server := httpserve.NewServer(listener, httpserve.DefaultBounds(), false)
+	server.Use(s.Faults.Handle)
+	server.GET("/zinniaroute/kv-range", s.list)
+	server.GET("/zinniaroute/kv-watch", s.watch)
+	server.POST("/zinniaroute/kv-txn", s.commit)
+	server.POST("/zinniaroute/kv-lease", s.grant)
+	server.POST("/zinniaroute/kv-keep/:lease", s.keep)
+	server.DELETE("/zinniaroute/kv-lease-end/:lease", s.end)
+	server.PUT(fault.Path, func(context.Context, *app.RequestContext) {})
+	server.Start(g, "metadata stand-in")
+}
+
+// Put writes a key as the operator or a runner does, and returns the revision.
+func (s *Server) Put(key string, value []byte) uint64 {
+	_, revision, _ := s.store.commit(time.Now(), transaction{Puts: []write{{Key: key, Value: value}}})
+	return revision
+}
+
+// Remove removes a key as the store does when a runner falls silent.
+func (s *Server) Remove(key string) {
+	s.store.commit(time.Now(), transaction{Remove: []string{key}})
+}
+
+// Value returns a key's value, or nil.
+func (s *Server) Value(key string) []byte {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	return s.store.items[key].Value
+}
+
+// Forget drops the history, so that watches must begin anew.
+func (s *Server) Forget() {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	s.store.history = nil
+	s.store.floor = s.store.revision + 1
+	close(s.store.changed)
+	s.store.changed = make(chan struct{})
+}
+
+func (s *Server) list(_ context.Context, c *app.RequestContext) {
+	items, more, revision := s.store.list(time.Now(), c.Query("prefix"), c.Query("after"), pageItems)
+	c.JSON(statusOK, map[string]any{"items": items, "has_more": more, "store_revision": revision})
+}
+
+func (s *Server) watch(ctx context.Context, c *app.RequestContext) {
+	wait := min(time.Duration(integer(c.Query("wait_ms")))*time.Millisecond, maxWait)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	events, revision, ok := s.store.watch(ctx, time.Now, c.Query("prefix"), integer(c.Query("after")))
+	if !ok {
+		c.SetStatusCode(statusLost)
+		return
+	}
+	c.JSON(statusOK, map[string]any{"events": events, "store_revision": revision})
+}
+
+// integer reads a number, zero when there is none.
+func integer(text string) uint64 {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func (s *Server) commit(_ context.Context, c *app.RequestContext) {
+	var t transaction
+	if err := json.Unmarshal(c.Request.Body(), &t); err != nil {
+		c.String(400, err.Error())
+		return
+	}
+	status, revision, differ := s.store.commit(time.Now(), t)
+	c.JSON(status, map[string]any{"revision": revision, "items": differ})
+}
+
+func (s *Server) grant(_ context.Context, c *app.RequestContext) {
+	var asked struct {
+		TTL int64 `json:"ttl_ms"`
+	}
+	if err := json.Unmarshal(c.Request.Body(), &asked); err != nil {
+		c.String(400, err.Error())
+		return
+	}
+	lease := s.store.grant(time.Now(), time.Duration(asked.TTL)*time.Millisecond)
+	c.JSON(statusOK, map[string]any{"lease": lease, "ttl_ms": asked.TTL})
+}
+
+func (s *Server) keep(_ context.Context, c *app.RequestContext) {
+	ttl, ok := s.store.keep(time.Now(), integer(c.Param("lease")))
+	if !ok {
+		c.SetStatusCode(statusMissing)
+		return
+	}
+	c.JSON(statusOK, map[string]any{"ttl_ms": ttl.Milliseconds()})
+}
+
+func (s *Server) end(_ context.Context, c *app.RequestContext) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	s.store.end(integer(c.Param("lease")))
+}
--- /dev/null
+++ b/standin/metadata/store.go
@@ -0,0 +1,209 @@
+package metadata
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// item is a key of the store in the platform's shape.
+type item struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	Revision  uint64 `json:"revision"`
+	CreateRev uint64 `json:"create_rev,omitempty"`
+	Lease     uint64 `json:"lease"`
+	Deleted   bool   `json:"deleted,omitempty"`
+}
+
+type condition struct {
+	Key      string `json:"key"`
+	Revision uint64 `json:"revision"`
+}
+
+type write struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	Lease uint64 `json:"lease"`
+}
+
+type transaction struct {
+	Conditions []condition `json:"precondition"`
+	Puts       []write     `json:"puts"`
+	Remove     []string    `json:"remove"`
+}
+
+type grant struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+// store holds the items with their history.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]item
+	history  []item
+	// floor is the revision up to which the history is gone.
+	floor     uint64
+	leases    map[uint64]grant
+	lastLease uint64
+	changed   chan struct{}
+}
+
+func newStore() *store {
+	return &store{revision: 1, items: make(map[string]item), leases: make(map[uint64]grant), changed: make(chan struct{})}
+}
+
+func (s *store) note(i item) {
+	s.history = append(s.history, i)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) put(w write) {
+	i := item{Key: w.Key, Value: w.Value, Revision: s.revision, CreateRev: s.revision, Lease: w.Lease}
+	if before, ok := s.items[w.Key]; ok {
+		i.CreateRev = before.CreateRev
+	}
+	s.items[w.Key] = i
+	s.note(i)
+}
+
+func (s *store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	delete(s.items, key)
+	s.note(item{Key: key, Revision: s.revision, Deleted: true})
+}
+
+// expire ends the leases whose time is over; the lock must be held.
+func (s *store) expire(now time.Time) {
+	for id, g := range s.leases {
+		if now.After(g.until) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *store) end(lease uint64) {
+	delete(s.leases, lease)
+	for _, key := range s.keys("") {
+		if s.items[key].Lease == lease {
+			s.revision++
+			s.remove(key)
+		}
+	}
+}
+
+func (s *store) keys(prefix string) []string {
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+const (
+	statusOK       = 200
+	statusMissing  = 404
+	statusLost     = 410
+	statusConflict = 412
+)
+
+// commit applies a transaction and returns the status with the revision or the items that differ.
+func (s *store) commit(now time.Time, t transaction) (status int, revision uint64, differ []item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	for _, c := range t.Conditions {
+		if s.items[c.Key].Revision != c.Revision {
+			differ = append(differ, s.items[c.Key])
+		}
+	}
+	if len(differ) > 0 {
+		return statusConflict, s.revision, differ
+	}
+	for _, w := range t.Puts {
+		if _, ok := s.leases[w.Lease]; w.Lease != 0 && !ok {
+			return statusMissing, s.revision, nil
+		}
+	}
+	s.revision++
+	for _, w := range t.Puts {
+		s.put(w)
+	}
+	for _, key := range t.Remove {
+		s.remove(key)
+	}
+	return statusOK, s.revision, nil
+}
+
+func (s *store) list(now time.Time, prefix, after string, most int) (items []item, more bool, revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	for _, key := range s.keys(prefix) {
+		if key <= after && after != "" {
+			continue
+		}
+		if len(items) == most {
+			return items, true, s.revision
+		}
+		items = append(items, s.items[key])
+	}
+	return items, false, s.revision
+}
+
+// watch waits for changes of a prefix after a revision; ok is false when that history is gone.
+func (s *store) watch(ctx context.Context, now func() time.Time, prefix string, after uint64) ([]item, uint64, bool) {
+	for {
+		s.mu.Lock()
+		s.expire(now())
+		if after < s.floor {
+			s.mu.Unlock()
+			return nil, 0, false
+		}
+		var events []item
+		for _, i := range s.history {
+			if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
+				events = append(events, i)
+			}
+		}
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			return events, revision, true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, revision, true
+		}
+	}
+}
+
+func (s *store) grant(now time.Time, ttl time.Duration) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastLease++
+	s.leases[s.lastLease] = grant{ttl: ttl, until: now.Add(ttl)}
+	return s.lastLease
+}
+
+func (s *store) keep(now time.Time, lease uint64) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	g, ok := s.leases[lease]
+	if ok {
+		s.leases[lease] = grant{ttl: g.ttl, until: now.Add(g.ttl)}
+	}
+	return g.ttl, ok
+}
--- /dev/null
+++ b/standin/modelrunner/runner.go
@@ -0,0 +1,335 @@
+package modelrunner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+
+	"github.com/zinniaroute/zinniaroute/transport/group"
+	"github.com/zinniaroute/zinniaroute/transport/httpserve"
+)
+
+const (
+	headerAttempt = "X-Zinniaroute-Attempt-Id"
+	headerModel   = "X-Zinniaroute-Model"
+	headerTarget  = "X-Zinniaroute-Target-Instance"
+	headerSeal    = "X-Zinniaroute-Response-Seal"
+	headerLast    = "Last-Event-Id"
+
+	statusOK          = 200
+	statusAccepted    = 202
+	statusBusy        = 409
+	statusMisdirected = 421
+	statusFailed      = 500
+)
+
+// Model is a model that a runner may hold.
+type Model struct {
+	Name     string   `json:"name"`
+	Version  int      `json:"version"`
+	Adapters []string `json:"adapters"`
+}
+
+// Options describe a runner.
+type Options struct {
+	ID      string
+	Service string
+	Domain  string
+	Models  []Model
+	// MemoryMB, ModelMB and AdapterSlots bound what it holds; it crashes when it is ordered more.
+	MemoryMB     float64
+	ModelMB      float64
+	AdapterSlots int
+	LoadTime     time.Duration
+	// Events is the number of events of a stream, and Pause the time between two.
+	Events int
+	Pause  time.Duration
+}
+
+// Run is a request that a runner began to run.
+type Run struct {
+	Attempt string
+	Path    string
+	Body    string
+	// After is the event after which the stream was asked to go on.
+	After string
+	// Cancelled tells that the caller left before the end.
+	Cancelled bool
+}
+
+// Runner is one endpoint.
+type Runner struct {
+	options Options
+	address string
+	born    int64
+
+	mu       sync.Mutex
+	models   []Model
+	busy     bool
+	sequence uint64
+	orders   []string
+	fences   []uint64
+	runs     []Run
+	overfull bool
+	// breakAfter cuts the next stream after a number of events; negative means never.
+	breakAfter int
+	failures   int
+	leaving    bool
+}
+
+// New returns a runner that holds its first models.
+func New(options Options) *Runner {
+	return &Runner{options: options, models: slices.Clone(options.Models), born: time.Now().UnixMilli(), breakAfter: -1}
+}
+
+// Start serves on a listener as a duty of the group.
+func (r *Runner) Start(g *group.Group, listener net.Listener) {
+	r.address = listener.Addr().String()
+	server := httpserve.NewServer(listener, httpserve.DefaultBounds(), false)
+	server.GET("/zinniaroute/report", r.report)
+	server.POST("/zinniaroute/order", r.order)
+	server.NoRoute(r.run)
+	server.NoMethod(r.run)
+	server.Start(g, "runner stand-in")
+}
+
+// Entry returns what the runner writes into the store.
+func (r *Runner) Entry() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := "ready"
+	if r.leaving {
+		state = "draining"
+	}
+	data, err := json.Marshal(map[string]any{
+		"service": r.options.Service, "address": r.address, "zone": r.options.Domain, "version": "v1", "slots": 8,
+		"state": state, "stage": "both", "models": r.models, "sequence": r.sequence, "born": r.born,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// Leave has the runner say that it is leaving.
+func (r *Runner) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+// BreakAfter cuts the next stream after a number of events.
+func (r *Runner) BreakAfter(events int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.breakAfter = events
+}
+
+// Fail answers the next requests with failures of the runner's own.
+func (r *Runner) Fail(requests int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures = requests
+}
+
+// Runs returns the requests that the runner began to run.
+func (r *Runner) Runs() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.runs)
+}
+
+// Orders returns the orders that the runner accepted, and their fencing numbers.
+func (r *Runner) Orders() ([]string, []uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.orders), slices.Clone(r.fences)
+}
+
+// Overfull reports whether the runner was ever ordered to hold more than it can.
+func (r *Runner) Overfull() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.overfull
+}
+
+func (r *Runner) misdirected(c *app.RequestContext) bool {
+	target := string(c.GetHeader(headerTarget))
+	if target == "" || target == r.options.ID {
+		return false
+	}
+	c.SetStatusCode(statusMisdirected)
+	return true
+}
+
+func (r *Runner) report(_ context.Context, c *app.RequestContext) {
+	if r.misdirected(c) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.JSON(statusOK, map[string]any{
+		"stage": "both", "models": r.models, "busy": r.busy, "sequence": r.sequence, "born": r.born,
+	})
+}
+
+type order struct {
+	Operation string `json:"operation"`
+	Model     string `json:"model"`
+	Adapter   string `json:"adapter"`
+	Expected  uint64 `json:"precondition"`
+	Holder    string `json:"holder"`
+	Fence     uint64 `json:"fence"`
+}
+
+func (r *Runner) order(_ context.Context, c *app.RequestContext) {
+	if r.misdirected(c) {
+		return
+	}
+	var o order
+	if err := json.Unmarshal(c.Request.Body(), &o); err != nil || o.Holder == "" || o.Fence == 0 {
+		c.SetStatusCode(400)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy || o.Expected != r.sequence {
+		c.SetStatusCode(statusBusy)
+		return
+	}
+	r.fences = append(r.fences, o.Fence)
+	c.SetStatusCode(r.carryOut(o))
+}
+
+// carryOut takes an order and returns its status; the lock must be held.
+func (r *Runner) carryOut(o order) int {
+	at := slices.IndexFunc(r.models, func(m Model) bool { return m.Name == o.Model })
+	loaded := o.Adapter != "" && at >= 0 && slices.Contains(r.models[at].Adapters, o.Adapter)
+	load := o.Operation == "load"
+	if o.Adapter == "" && load == (at >= 0) || o.Adapter != "" && load == loaded {
+		return statusOK
+	}
+	if o.Adapter != "" && at < 0 {
+		return statusMisdirected
+	}
+	r.sequence++
+	r.orders = append(r.orders, o.Operation+" "+strings.TrimSuffix(o.Model+"/"+o.Adapter, "/"))
+	switch {
+	case o.Adapter == "":
+		r.busy = true
+		time.AfterFunc(r.options.LoadTime, func() { r.finish(o) })
+		return statusAccepted
+	case load:
+		r.models[at].Adapters = append(slices.Clone(r.models[at].Adapters), o.Adapter)
+		r.check()
+		return statusAccepted
+	default:
+		r.models[at].Adapters = slices.DeleteFunc(slices.Clone(r.models[at].Adapters), func(a string) bool {
+			return a == o.Adapter
+		})
+		return statusOK
+	}
+}
+
+func (r *Runner) finish(o order) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.busy = false
+	if o.Operation == "load" {
+		r.models = append(slices.Clone(r.models), Model{Name: o.Model, Version: 1, Adapters: []string{}})
+		r.check()
+		return
+	}
+	r.models = slices.DeleteFunc(slices.Clone(r.models), func(m Model) bool { return m.Name == o.Model })
+}
+
+func (r *Runner) check() {
+	adapters := 0
+	for _, m := range r.models {
+		adapters += len(m.Adapters)
+	}
+	if float64(len(r.models))*r.options.ModelMB > r.options.MemoryMB || adapters > r.options.AdapterSlots {
+		r.overfull = true
+	}
+}
+
+func (r *Runner) holds(name string) bool {
+	model, adapter, _ := strings.Cut(name, "/")
+	return slices.ContainsFunc(r.models, func(m Model) bool {
+		return m.Name == model && (adapter == "" || slices.Contains(m.Adapters, adapter))
+	})
+}
+
+// begin notes a run and returns its number, or false when the request is answered without one.
+func (r *Runner) begin(c *app.RequestContext) (number, breakAfter int, ok bool) {
+	model := string(c.GetHeader(headerModel))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if model != "" && !r.holds(model) {
+		c.SetStatusCode(statusMisdirected)
+		return 0, 0, false
+	}
+	r.runs = append(r.runs, Run{
+		Attempt: string(c.GetHeader(headerAttempt)), Path: string(c.Request.Header.RequestURI()),
+		Body: string(c.Request.Body()), After: string(c.GetHeader(headerLast)),
+	})
+	c.Header(headerSeal, "seal-"+r.options.ID)
+	c.Header(headerAttempt, string(c.GetHeader(headerAttempt)))
+	if r.failures > 0 {
+		r.failures--
+		c.SetStatusCode(statusFailed)
+		return 0, 0, false
+	}
+	breakAfter, r.breakAfter = r.breakAfter, -1
+	return len(r.runs) - 1, breakAfter, true
+}
+
+func (r *Runner) run(ctx context.Context, c *app.RequestContext) {
+	// The library takes a path without a handler for missing.
+	c.SetStatusCode(statusOK)
+	if r.misdirected(c) {
+		return
+	}
+	number, breakAfter, ok := r.begin(c)
+	if !ok {
+		return
+	}
+	if string(c.GetHeader(headerModel)) == "" {
+		group.Sleep(ctx, r.options.Pause)
+		c.String(statusOK, "answer of "+r.options.ID)
+		return
+	}
+	c.SetContentType("text/event-stream")
+	writer := resp.NewChunkedBodyWriter(&c.Response, c.GetWriter())
+	c.Response.HijackWriter(writer)
+	first := 1
+	if _, err := fmt.Sscan(string(c.GetHeader(headerLast)), &first); err == nil {
+		first++
+	}
+	for i := first; i <= r.options.Events; i++ {
+		if breakAfter >= 0 && i-first >= breakAfter {
+			_ = c.GetConn().Close()
+			return
+		}
+		if !group.Sleep(ctx, r.options.Pause) {
+			r.mu.Lock()
+			r.runs[number].Cancelled = true
+			r.mu.Unlock()
+			return
+		}
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: token %d\n\n", i, i); err != nil {
+			return
+		}
+		if err := writer.Flush(); err != nil {
+			return
+		}
+	}
+}
