Bound the log, serve metrics and a state dump, and tell why a request was not served

The log no longer blocks: 100 routine and 200 other lines a second, the rest counted and told (event 105). Counters by kind and outcome, causes, orders, histograms of the times before the last send, to the first byte and in whole on the second internal port.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -61,6 +61,9 @@
 	return s, findings.Err()
 }
 
+// logBudget bounds the lines a second: a VM of today serves some ten requests a second, with up to four lines each.
+var logBudget = eventlog.Budget{Routine: 100, Others: 200}
+
 // settingsPoll is how often the settings file is looked at, since it may change without a signal.
 const settingsPoll = 2 * time.Second
 
@@ -102,7 +105,7 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
 	signals, stop := stopSignals()
 	defer stop()
-	listeners, err := httpserve.ListenAll([]netip.AddrPort{s.Callers, s.Readiness, s.Peers()})
+	listeners, err := httpserve.ListenAll([]netip.AddrPort{s.Callers, s.Readiness, s.Peers(), s.Operations()})
 	if err != nil {
 		return err
 	}
@@ -110,14 +113,16 @@
 	if err != nil {
 		return err
 	}
-	log := eventlog.New(os.Stdout, logrus.InfoLevel, "gateway/"+s.Name, s.Domain)
+	log := eventlog.NewBounded(os.Stdout, logrus.InfoLevel, "gateway/"+s.Name, s.Domain, logBudget)
+	g.Start("write log", log.Run)
 	process := gateway.New(clock.Now(), s, log)
-	process.Start(g, listeners[0], listeners[1], listeners[2])
+	process.Start(g, listeners[0], listeners[1], listeners[2], listeners[3])
 	g.Start("reload settings", func(ctx context.Context) error { return followSettings(ctx, path, s, process, log) })
 	waitForStop(signals, g, process.StopRequested())
 	cut := process.Drain(g.Context())
 	log.Emit(eventlog.ProcessStopped, "gateway", cut)
 	closeAll(listeners)
+	log.Flush()
 	return nil
 }
 
--- a/coordination/ownership/desk.go
+++ b/coordination/ownership/desk.go
@@ -127,6 +127,9 @@
 // Owner returns the VM that owns a runner, or "".
 func (d *Desk) Owner(runner string) string { return d.claims[runner].VM }
 
+// Claim returns a runner's owner as the store has it.
+func (d *Desk) Claim(runner string) Claim { return d.claims[runner] }
+
 // Authority returns the fencing number with which this VM may order a runner now, or false when it may not.
 func (d *Desk) Authority(now time.Time, runner string) (uint64, bool) {
 	claim, ok := d.claims[runner]
--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -1,6 +1,10 @@
 package eventlog
 
-import "github.com/sirupsen/logrus"
+import (
+	"slices"
+
+	"github.com/sirupsen/logrus"
+)
 
 // Event is one kind of log line.
 type Event struct {
@@ -210,15 +214,33 @@
 		[]string{"changed", "error"},
 		"If there is an error, the earlier settings stay in force.",
 	}
-	RequestEnded = Event{
-		507, logrus.InfoLevel, "request ended",
+	RequestServed = Event{
+		507, logrus.InfoLevel, "request served",
+		[]string{
+			"request", "route", "unit", "outcome", "status", "reason", "runner", "runs", "ms", "predictedMs", "beforeMs", "firstMs", "version",
+		},
+		"See docs/OPERATIONS.md.",
+	}
+	RequestNotServed = Event{
+		510, logrus.WarnLevel, "request not served",
 		[]string{
 			"request", "route", "unit", "outcome", "status", "reason", "runner", "runs", "ms", "predictedMs", "beforeMs", "firstMs", "version",
 		},
 		"See docs/OPERATIONS.md.",
 	}
+	LinesOmitted = Event{
+		105, logrus.WarnLevel, "lines of the log were left out, since there were too many",
+		[]string{"lines"},
+		"The counters on the metrics address count everything.",
+	}
 )
 
+// routine are the events of requests and orders that went well, which are the first to be left out under load.
+var routine = []int{503, 506, 507, 308, 309, 312}
+
+// Routine reports whether an event tells of something that went well.
+func (e Event) Routine() bool { return slices.Contains(routine, e.Number) }
+
 // Catalogue lists every event by number.
 func Catalogue() []Event {
 	return []Event{
@@ -226,7 +248,7 @@
 		CatalogInForce, CatalogUnreadable, CatalogPublished, ConfigurationInForce, ConfigurationUnreadable,
 		LeaseChanged, OrderAnswered, UnitShort, IntentsFailed,
 		PeerUnreachable, RunnerChanged, ControlLost, StoreLost, StoreBack, RunnerListed, RunnerUnreadable,
-		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined, RequestEnded,
+		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined, RequestServed, RequestNotServed, LinesOmitted,
 		RefusedStopping, TurnedAway, SettingsReloaded, RegistrationFailed, MemberChanged, OwnerChanged, LoadPlace,
 		ReportFailed, RunnerReported, OrderGiven, MovePlanned, MoveTaken, AdapterAsked, PlanState,
 	}
--- a/eventlog/log.go
+++ b/eventlog/log.go
@@ -1,7 +1,12 @@
 package eventlog
 
 import (
+	"context"
 	"io"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -9,6 +14,8 @@
 // Log writes the events of one process.
 type Log struct {
 	entry *logrus.Entry
+	// bound limits what is written; nil means no limit.
+	bound *bound
 }
 
 // New returns a log that writes JSON lines, each with the process's name and failure domain.
@@ -20,11 +27,72 @@
 	return &Log{entry: logger.WithFields(logrus.Fields{"process": process, "domain": domain})}
 }
 
+// Budget limits the lines of a log a second; routine events have a budget of their own, so that they never keep out
+// failures and changes of belief.
+type Budget struct {
+	Routine int
+	Others  int
+}
+
+const (
+	// queueLines is the number of lines that wait for a slow reader of the output before lines are left out.
+	queueLines = 2048
+	// omittedInterval is how often the number of omitted lines is told.
+	omittedInterval = 5 * time.Second
+)
+
+// NewBounded returns a log that never blocks: what its budget or a slow output leaves no room for is counted and told.
+// Run must run beside it.
+func NewBounded(out io.Writer, level logrus.Level, process, domain string, budget Budget) *Log {
+	b := &bound{out: out, queue: make(chan []byte, queueLines), budget: budget}
+	log := New(b, level, process, domain)
+	log.bound = b
+	return log
+}
+
+// Run writes the queued lines until the context ends.
+func (l *Log) Run(ctx context.Context) error {
+	ticker := time.NewTicker(omittedInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case line := <-l.bound.queue:
+			l.bound.write(line)
+		case <-ticker.C:
+			l.tellOmitted()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Flush writes what is still queued at the end of a process.
+func (l *Log) Flush() {
+	l.tellOmitted()
+	for {
+		select {
+		case line := <-l.bound.queue:
+			l.bound.write(line)
+		default:
+			return
+		}
+	}
+}
+
+func (l *Log) tellOmitted() {
+	if omitted := l.bound.omitted.Swap(0); omitted > 0 {
+		l.Emit(LinesOmitted, omitted)
+	}
+}
+
 // Emit writes an event with the values of its fields in the catalogue's order.
 func (l *Log) Emit(event Event, values ...any) {
 	if !l.entry.Logger.IsLevelEnabled(event.Level) {
 		return
 	}
+	if l.bound != nil && !l.bound.allow(time.Now(), event.Routine()) {
+		return
+	}
 	fields := make(logrus.Fields, len(values)+1)
 	fields["event"] = event.Number
 	for i, value := range values {
@@ -38,3 +106,52 @@
 	}
 	l.entry.WithFields(fields).Log(event.Level, event.Text)
 }
+
+// bound is the output of a log that must not block.
+type bound struct {
+	out     io.Writer
+	queue   chan []byte
+	budget  Budget
+	omitted atomic.Uint64
+
+	mu      sync.Mutex
+	second  int64
+	routine int
+	others  int
+}
+
+// allow counts a line against the budget of the present second.
+func (b *bound) allow(now time.Time, routine bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if second := now.Unix(); second != b.second {
+		b.second, b.routine, b.others = second, 0, 0
+	}
+	count, most := &b.others, b.budget.Others
+	if routine {
+		count, most = &b.routine, b.budget.Routine
+	}
+	if *count >= most {
+		b.omitted.Add(1)
+		return false
+	}
+	*count++
+	return true
+}
+
+// Write queues a line, or counts it as omitted.
+func (b *bound) Write(line []byte) (int, error) {
+	select {
+	case b.queue <- slices.Clone(line):
+	default:
+		b.omitted.Add(1)
+	}
+	return len(line), nil
+}
+
+// write hands a line to the output; a line that cannot be written is counted, since there is nowhere to tell it.
+func (b *bound) write(line []byte) {
+	if _, err := b.out.Write(line); err != nil {
+		b.omitted.Add(1)
+	}
+}
--- a/state/lifecycle/machine.go
+++ b/state/lifecycle/machine.go
@@ -36,6 +36,7 @@
 	// begun tells that a part of the answer was passed on.
 	begun  bool
 	done   bool
+	cause  Cause
 	reason string
 	retry  time.Duration
 }
@@ -63,6 +64,12 @@
 // Reason returns why the request was refused or failed.
 func (m *Machine) Reason() string { return m.reason }
 
+// Cause returns the kind of the reason, of which there are few.
+func (m *Machine) Cause() string { return string(m.cause) }
+
+// because notes why the request may have to be given up.
+func (m *Machine) because(cause Cause) { m.cause, m.reason = cause, string(cause) }
+
 // RetryAfter returns when a refused request may come back.
 func (m *Machine) RetryAfter() time.Duration { return m.retry }
 
@@ -77,7 +84,7 @@
 	case Chosen:
 		return m.chosen(e)
 	case NoneFree:
-		m.reason, m.retry = e.Reason, max(e.RetryAfter, 0)
+		m.cause, m.reason, m.retry = Unplaced, e.Reason, max(e.RetryAfter, 0)
 		return m.giveUp()
 	case Unreached:
 		return m.unreachedNow()
@@ -93,7 +100,7 @@
 		m.done = true
 		return End
 	case Expired:
-		m.reason = "out of time"
+		m.because(OutOfTime)
 		return m.giveUp()
 	default:
 		return End
@@ -116,7 +123,7 @@
 
 func (m *Machine) unreachedNow() Action {
 	m.exclude()
-	m.reason = "endpoint not reached"
+	m.because(NotReached)
 	if m.unreached++; m.unreached >= maxUnreached {
 		return m.giveUp()
 	}
@@ -125,9 +132,9 @@
 
 func (m *Machine) declinedNow(now time.Time, e Declined) Action {
 	m.exclude()
-	m.reason = "endpoint declined"
+	m.because(WasDeclined)
 	if e.Misdirected {
-		m.reason = "endpoint holds something else"
+		m.because(HoldsOther)
 	}
 	if m.declined++; m.declined >= maxDeclined || !m.budget.Take(now) {
 		return m.giveUp()
@@ -138,7 +145,7 @@
 func (m *Machine) lost(now time.Time) Action {
 	m.runs++
 	m.exclude()
-	m.reason = "answer lost"
+	m.because(AnswerLost)
 	return m.again(now)
 }
 
@@ -153,7 +160,7 @@
 func (m *Machine) broken(now time.Time, e Broken) Action {
 	m.begun = true
 	m.exclude()
-	m.reason = "answer broke off"
+	m.because(BrokeOff)
 	if !e.Resumable {
 		return m.giveUp()
 	}
@@ -167,7 +174,7 @@
 		return Relay
 	}
 	m.exclude()
-	m.reason = "endpoint failed"
+	m.because(EndpointFailed)
 	if m.limits.Repeatable && m.runs < m.limits.MaxRuns && m.budget.Take(now) {
 		return Choose
 	}
--- a/state/lifecycle/types.go
+++ b/state/lifecycle/types.go
@@ -79,6 +79,21 @@
 	End Action = "end"
 )
 
+// Cause is why a request had to be tried again or given up.
+type Cause string
+
+// The causes.
+const (
+	Unplaced       Cause = "no endpoint takes it"
+	NotReached     Cause = "endpoint not reached"
+	WasDeclined    Cause = "endpoint declined"
+	HoldsOther     Cause = "endpoint holds something else"
+	AnswerLost     Cause = "answer lost"
+	BrokeOff       Cause = "answer broke off"
+	EndpointFailed Cause = "endpoint failed"
+	OutOfTime      Cause = "out of time"
+)
+
 // Budget allows or forbids sending a request to one more endpoint.
 type Budget interface {
 	// Take uses up one repeat, or reports that none is left.
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -267,8 +267,13 @@
 		status = x.context.Response.StatusCode()
 	}
 	now := clock.Now()
+	event := eventlog.RequestNotServed
+	if status >= statusOK && status < serverError && action == lifecycle.End {
+		event = eventlog.RequestServed
+	}
+	g.metrics.ended(x, action, status, now)
 	g.log.Emit(
-		eventlog.RequestEnded, x.request.ID, x.route.Name, x.request.Unit.String(), string(action), status,
+		event, x.request.ID, x.route.Name, x.request.Unit.String(), string(action), status,
 		x.machine.Reason(), x.machine.Endpoint(), x.machine.Runs(), now.Sub(x.request.Arrived).Milliseconds(),
 		x.choice.Wait.Milliseconds(), x.before().Milliseconds(), x.first.Milliseconds(), x.version,
 	)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -44,6 +44,8 @@
 	// incarnation identifies this process among those of the VM.
 	incarnation string
 	peers       *peers
+	metrics     *metrics
+	started     time.Time
 	renewed     time.Time
 	runners     *httpcall.Client
 	engines     *platform.Engines
@@ -118,6 +120,8 @@
 
 		incarnation: incarnation,
 		peers:       newPeers(),
+		metrics:     newMetrics(),
+		started:     now,
 		owners: ownership.New(s.Name, incarnation, ownership.Bounds{
 			Validity: orderValidity, Pause: s.Bounds.TakeOver.Duration, Settle: settleTime,
 		}),
@@ -142,8 +146,9 @@
 func (g *Gateway) bounds() settings.Bounds { return *g.limits.Load() }
 
 // Start runs the gateway's duties in the group on open listeners.
-func (g *Gateway) Start(run *group.Group, callers, readiness, peers net.Listener) {
+func (g *Gateway) Start(run *group.Group, callers, readiness, peers, ops net.Listener) {
 	g.run = run
+	g.serveOperations(run, ops)
 	g.serveCallers(run, callers)
 	g.serveReadiness(run, readiness)
 	g.handlers().Start(run, peers)
--- /dev/null
+++ b/transport/gateway/operations.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"net"
+	"time"
+
+	"github.com/zinniaroute/zinniaroute/coordination/ownership"
+	"github.com/zinniaroute/zinniaroute/state/dispatch"
+	"github.com/zinniaroute/zinniaroute/state/fleet"
+	"github.com/zinniaroute/zinniaroute/transport/group"
+	"github.com/zinniaroute/zinniaroute/transport/httpserve"
+	"github.com/zinniaroute/zinniaroute/transport/operations"
+)
+
+// serveOperations serves health, metrics and the state dump.
+func (g *Gateway) serveOperations(run *group.Group, listener net.Listener) {
+	server := httpserve.NewServer(listener, httpserve.DefaultBounds(), false)
+	operations.Serve(server, operations.Source{
+		Health: g.ready,
+		State:  func(now time.Time) any { return g.state(now) },
+		Stop:   g.RequestStop,
+	})
+	server.Start(run, "operations")
+}
+
+// dump is the state of a gateway.
+type dump struct {
+	VM       string    `json:"vm"`
+	Domain   string    `json:"domain"`
+	Started  time.Time `json:"started"`
+	Stopping bool      `json:"stopping"`
+	InFlight int64     `json:"inFlight"`
+	// Configuration is the version in force, zero when there is none.
+	Configuration uint64 `json:"configuration"`
+	// StoreRevision is known as of StoreHeard.
+	StoreRevision uint64    `json:"storeRevision"`
+	StoreHeard    time.Time `json:"storeHeard"`
+	Gatherer      string    `json:"gatherer"`
+	Members       []string  `json:"members"`
+	// RepeatsLeft are the repeats that may be sent now, by service.
+	RepeatsLeft map[string]int            `json:"repeatsLeft"`
+	Runners     []runnerDump              `json:"runners"`
+	Sent        map[string]dispatch.Share `json:"sent"`
+}
+
+type runnerDump struct {
+	ID       string          `json:"id"`
+	Service  string          `json:"service"`
+	Leaving  bool            `json:"leaving"`
+	Holdings fleet.Holdings  `json:"holdings"`
+	AsOf     time.Time       `json:"asOf"`
+	Owner    ownership.Claim `json:"owner"`
+	// Ordered tells that this VM orders the runner, and Sequence is the number of orders that it has accepted.
+	Ordered  bool   `json:"ordered"`
+	Sequence uint64 `json:"sequence"`
+}
+
+func (g *Gateway) state(now time.Time) dump {
+	hub := g.hub(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := dump{
+		VM: g.settings.Name, Domain: g.settings.Domain, Started: g.started, Stopping: g.stopping.Load(),
+		InFlight: g.inFlight.Load(), StoreRevision: g.known, StoreHeard: g.heard, Gatherer: hub,
+		Members: g.owners.Members(), RepeatsLeft: make(map[string]int), Sent: g.desk.Shares(now),
+	}
+	if table := g.table.Load(); table != nil {
+		d.Configuration = table.Version
+	}
+	for service, budget := range g.budgets {
+		d.RepeatsLeft[service] = budget.Left(now)
+	}
+	for _, r := range g.directory.All() {
+		shown := runnerDump{
+			ID: r.ID, Service: r.Service, Leaving: r.Leaving, Holdings: r.Holdings, AsOf: r.AsOf, Owner: g.owners.Claim(r.ID),
+		}
+		if o := g.ordered[r.ID]; o != nil {
+			shown.Ordered, shown.Sequence = true, o.ledger.Sequence()
+		}
+		d.Runners = append(d.Runners, shown)
+	}
+	return d
+}
--- a/transport/gateway/orders.go
+++ b/transport/gateway/orders.go
@@ -198,6 +198,7 @@
 	sent := clock.Now()
 	result, err := g.engines.Order(ctx, address, order)
 	now := clock.Now()
+	ordersGiven.Add(string(order.Verb)+"."+string(result), 1)
 	g.log.Emit(
 		eventlog.OrderGiven, id, string(order.Verb), order.Unit.String(), string(result), order.Expected, order.Fence,
 		now.Sub(sent).Milliseconds(), err,
