Learn the pace of each model from prompts that nothing was ahead of

Cause: models differ in pace by up to nine times (0.11 to 1.0), which was taken for the slowness of whichever runner served them and counted too much in the plan's demand.

--- a/state/dispatch/desk.go
+++ b/state/dispatch/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -34,6 +35,12 @@
 	silentPause = 250 * time.Millisecond
 	silentMax   = 2 * time.Second
 	maxCached   = 4096
+	// leastPaceTokens is the size of a prompt from which its time shows the pace of its model.
+	leastPaceTokens = 1500
+	// paceWeight is the weight of one measurement in a model's pace, and leastPace and mostPace bound it.
+	paceWeight = 0.1
+	leastPace  = 0.1
+	mostPace   = 4
 	// unorderedPause is how long a runner is not asked for absent adapters after its owner could not help.
 	unorderedPause = 250 * time.Millisecond
 )
@@ -42,6 +49,8 @@
 type Desk struct {
 	domain string
 	loads  map[string]*load
+	// paces are the logarithms of the measured paces of models.
+	paces map[string]float64
 	// cached is when a chain of parts was last sent to a runner.
 	cached map[chainKey]time.Time
 }
@@ -57,6 +66,7 @@
 		domain: domain,
 		loads:  make(map[string]*load),
 		cached: make(map[chainKey]time.Time),
+		paces:  make(map[string]float64),
 	}
 }
 
@@ -159,9 +169,29 @@
 		work := plainWork + plainWork*time.Duration(waiting)/time.Duration(max(1, runner.Slots))
 		return time.Duration(float64(work)*l.slow(now)) + time.Duration(running)*time.Millisecond
 	}
-	tokens := l.ahead(rankOf(r.Rank)) + d.unread(now, r, runner.ID, home)
-	wait := stepTime + time.Duration(tokens)*time.Second/prefillRate + time.Duration(running)*runningCost
-	return time.Duration(float64(wait) * l.slow(now))
+	wait := stepTime + reading(l.ahead(rankOf(r.Rank))) + time.Duration(running)*runningCost
+	own := float64(reading(d.unread(now, r, runner.ID, home))) * d.Pace(r.Unit.Model)
+	return time.Duration((float64(wait) + own) * l.slow(now))
+}
+
+// reading returns the time in which a runner reads prompt tokens for a model of the usual pace.
+func reading(tokens int) time.Duration { return time.Duration(tokens) * time.Second / prefillRate }
+
+// Pace returns how many times longer than usual a model takes, as measured on prompts that nothing was ahead of.
+func (d *Desk) Pace(model string) float64 {
+	pace, ok := d.paces[model]
+	if !ok {
+		return 1
+	}
+	return math.Exp(pace)
+}
+
+// measurePace takes in the time that a runner took for a prompt that nothing was ahead of.
+func (d *Desk) measurePace(model string, unread int, measured time.Duration) {
+	ratio := float64(max(measured-stepTime, time.Millisecond)) / float64(reading(unread))
+	ratio = math.Log(min(max(ratio, leastPace), mostPace))
+	before := d.paces[model]
+	d.paces[model] = before + paceWeight*(ratio-before)
 }
 
 // unread returns the prompt tokens of a request that a runner is thought not to keep.
@@ -221,7 +251,11 @@
 	Runner string
 	unread int
 	rank   int
-	sent   time.Time
+	// work is the unread tokens at the model's pace, and clean tells that nothing was ahead of them.
+	work  int
+	clean bool
+	model string
+	sent  time.Time
 	// wait is the predicted time to the first byte, without the runner's slowness.
 	wait    time.Duration
 	begun   bool
@@ -234,11 +268,13 @@
 	l := d.load(runner)
 	t := &Ticket{
 		Runner: runner, unread: d.unread(now, r, runner, false), rank: rankOf(r.Rank), sent: now,
-		wait: time.Duration(float64(choice.Wait) / l.slow(now)),
+		wait:  time.Duration(float64(choice.Wait) / l.slow(now)),
+		model: r.Unit.Model, clean: l.backlog() == 0,
 	}
+	t.work = int(float64(t.unread) * d.Pace(t.model))
 	l.running++
-	l.addRead(now, t.unread)
-	l.pending[t.rank] += t.unread
+	l.addRead(now, t.work)
+	l.pending[t.rank] += t.work
 	if len(d.cached) > maxCached {
 		d.forget(now)
 	}
@@ -263,9 +299,12 @@
 	}
 	t.begun = true
 	l := d.load(t.Runner)
-	l.pending[t.rank] -= t.unread
+	l.pending[t.rank] -= t.work
 	l.misses = 0
 	l.measure(now, now.Sub(t.sent), t.wait)
+	if t.clean && t.unread >= leastPaceTokens {
+		d.measurePace(t.model, t.unread, now.Sub(t.sent))
+	}
 }
 
 // Ended notes what became of a request.
@@ -275,7 +314,7 @@
 	}
 	l := d.load(t.Runner)
 	if !t.begun {
-		l.pending[t.rank] -= t.unread
+		l.pending[t.rank] -= t.work
 	}
 	t.stopped = true
 	l.running--
--- a/transport/gateway/gather.go
+++ b/transport/gateway/gather.go
@@ -287,5 +287,6 @@
 		meter = allocation.NewMeter(now)
 		g.meters[service] = meter
 	}
-	meter.Add(now, unit.Model, allocation.Work(&x.request))
+	work := float64(allocation.Work(&x.request)) * g.desk.Pace(unit.Model)
+	meter.Add(now, unit.Model, time.Duration(work))
 }
