Count a model that is on its way to a runner as a copy

Ruled out: the places among the loads (86 refusals, most of them for these repeated loads) and refused orders (1).

--- a/coordination/gathering/table.go
+++ b/coordination/gathering/table.go
@@ -33,6 +33,8 @@
 	Holdings    fleet.Holdings
 	AsOf        time.Time
 	Moving      bool
+	// Target is the model that the runner is about to hold.
+	Target string
 }
 
 type entry struct {
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -27,6 +27,8 @@
 	Age time.Duration `cbor:"4,keyasint"`
 	// Moving runners have an order on weights under way.
 	Moving bool `cbor:"5,keyasint,omitempty"`
+	// Target is the model that the runner is about to hold.
+	Target string `cbor:"6,keyasint,omitempty"`
 }
 
 // Use tells when an adapter was last asked for on a runner.
--- a/state/allocation/plan.go
+++ b/state/allocation/plan.go
@@ -38,11 +38,15 @@
 	Moving bool
 	// Gone runners hold copies that do not count, since they leave.
 	Gone bool
+	// Target is the model that a moving runner is about to hold, which counts as a copy.
+	Target string
 	// Since is when each model was loaded, as far as known.
 	Since map[string]time.Time
 }
 
-func (r *Runner) holds(model string) bool { return slices.Contains(r.Models, model) }
+func (r *Runner) holds(model string) bool {
+	return slices.Contains(r.Models, model) || r.Target == model
+}
 
 // Demand is the work that a model's requests ask for, in runners.
 type Demand map[string]float64
@@ -133,6 +137,9 @@
 		for _, model := range runner.Models {
 			p.copies[model]++
 		}
+		if runner.Target != "" && !slices.Contains(runner.Models, runner.Target) {
+			p.copies[runner.Target]++
+		}
 	}
 	p.work = make(map[string]float64)
 	for _, runner := range p.runners {
@@ -280,7 +287,7 @@
 		runner.Models = slices.DeleteFunc(slices.Clone(runner.Models), func(m string) bool {
 			return slices.Contains(a.Move.Unload, m)
 		})
-		runner.Models = append(runner.Models, a.Move.Load)
+		runner.Target = a.Move.Load
 		runner.Moving = true
 	}
 }
--- a/state/allocation/plan_test.go
+++ b/state/allocation/plan_test.go
@@ -80,3 +80,14 @@
 		assert.Assert(t, a.Move.Load != "busy")
 	}
 }
+
+// While a model was on its way to a runner for four seconds, it counted as absent, and was loaded on four runners more.
+func TestAModelOnItsWayCountsAsACopy(t *testing.T) {
+	engine := engineOf("a", "b")
+	runners := []*Runner{
+		{ID: "r1", Models: []string{"a"}, Moving: true, Target: "b"},
+		{ID: "r2", Models: []string{"a"}},
+		{ID: "r3", Models: []string{"a"}},
+	}
+	assert.Equal(t, len(Plan(start, engine, runners, Demand{"b": 0.2}, nil)), 0)
+}
--- a/state/orders/ledger.go
+++ b/state/orders/ledger.go
@@ -79,6 +79,17 @@
 // Moving reports whether a move has not been finished.
 func (l *Ledger) Moving() bool { return l.move != nil || l.Busy() }
 
+// Target returns the model that is being loaded, or will be by the move, or "".
+func (l *Ledger) Target() string {
+	if l.move != nil {
+		return l.move.Load
+	}
+	if l.loading == unknownModel {
+		return ""
+	}
+	return l.loading
+}
+
 // Sequence returns the number of orders that the runner is thought to have accepted.
 func (l *Ledger) Sequence() uint64 { return l.sequence }
 
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -83,6 +83,8 @@
 	// moves are planned and not yet handed to the owners of their runners; moved is when they were planned.
 	moves map[string]orders.Move
 	moved map[string]time.Time
+	// targets are the models that the planned moves load.
+	targets map[string]string
 	// held is since when runners hold their models, as the plan has seen it.
 	held map[string]map[string]time.Time
 	// absent is since when no runner of a service holds a model.
@@ -135,6 +137,7 @@
 		gathered:   gathering.NewTable(),
 		moves:      make(map[string]orders.Move),
 		moved:      make(map[string]time.Time),
+		targets:    make(map[string]string),
 		held:       make(map[string]map[string]time.Time),
 		absent:     make(map[string]map[string]time.Time),
 	}
--- a/transport/gateway/gather.go
+++ b/transport/gateway/gather.go
@@ -101,7 +101,7 @@
 	}
 	for id, o := range g.ordered {
 		if _, may := g.authority(now, id); may && o.ledger.Known() {
-			d.Owned = append(d.Owned, g.owned(now, id, o))
+			d.Owned = append(d.Owned, g.owned(id, o))
 		}
 	}
 	return d
@@ -121,6 +121,7 @@
 		mine[o.Runner] = true
 		word.Owned[o.Runner] = gathering.Owned{
 			Incarnation: o.Incarnation, Holdings: o.Holdings, AsOf: now.Add(-o.Age), Moving: o.Moving,
+			Target: o.Target,
 		}
 	}
 	g.mu.Lock()
@@ -224,6 +225,7 @@
 		for _, a := range allocation.Plan(now, service.Engine, runners, demand, g.absent[name]) {
 			g.moves[a.Runner] = a.Move
 			g.moved[a.Runner] = now
+			g.targets[a.Runner] = a.Move.Load
 			g.log.Emit(eventlog.MovePlanned, a.Runner, a.Move.Load, a.Move.Unload, demand[a.Move.Load])
 		}
 	}
@@ -255,6 +257,13 @@
 		for _, held := range holdings.Models {
 			p.Models = append(p.Models, held.Model)
 		}
+		p.Target = owned.Target
+		if planned, ok := g.moves[r.ID]; ok || now.Sub(g.moved[r.ID]) < moveTime {
+			p.Target = planned.Load
+			if !ok {
+				p.Target = g.targets[r.ID]
+			}
+		}
 		g.noteHeld(now, r.ID, p.Models)
 		p.Since = g.held[r.ID]
 		runners = append(runners, p)
--- a/transport/gateway/orders.go
+++ b/transport/gateway/orders.go
@@ -219,10 +219,10 @@
 const adapterPoll = 2 * time.Millisecond
 
 // owned returns what this VM knows of a runner that it owns; the lock must be held.
-func (g *Gateway) owned(now time.Time, id string, o *orderedRunner) vm.Owned {
-	_ = now
+func (g *Gateway) owned(id string, o *orderedRunner) vm.Owned {
 	return vm.Owned{
 		Runner: id, Incarnation: o.ledger.Incarnation(), Holdings: o.ledger.Holdings(), Moving: o.ledger.Moving(),
+		Target: o.ledger.Target(),
 	}
 }
 
@@ -248,7 +248,7 @@
 		}
 		held := o.ledger.Need(now, unit)
 		changed := o.changed
-		word := g.owned(now, runner, o)
+		word := g.owned(runner, o)
 		g.mu.Unlock()
 		if held {
 			return word, true, ""
