Prefer runners of the own failure domain, and quarantine requests that crash runners

A request that crashes each runner was sent on and on by every VM; suspicions now go to the gathering VM and back, and three early crashes refuse the request.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -149,6 +149,11 @@
 		[]string{"request", "reason", "runner", "predictedMs", "duty", "retryAfterMs"},
 		"If it repeats for a model, it needs more copies than its service has room for.",
 	}
+	Quarantined = Event{
+		511, logrus.WarnLevel, "a request was refused, since it has crashed several endpoints",
+		[]string{"request", "print", "waitMs"},
+		"Find its caller by the request's id.",
+	}
 	RegistrationFailed = Event{
 		408, logrus.WarnLevel, "the VM's key could not be written; it is tried again",
 		[]string{"error"},
@@ -249,7 +254,7 @@
 		LeaseChanged, OrderAnswered, UnitShort, IntentsFailed,
 		PeerUnreachable, RunnerChanged, ControlLost, StoreLost, StoreBack, RunnerListed, RunnerUnreadable,
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined, RequestServed, RequestNotServed, LinesOmitted,
-		RefusedStopping, TurnedAway, SettingsReloaded, RegistrationFailed, MemberChanged, OwnerChanged, LoadPlace,
+		RefusedStopping, TurnedAway, Quarantined, SettingsReloaded, RegistrationFailed, MemberChanged, OwnerChanged, LoadPlace,
 		ReportFailed, RunnerReported, OrderGiven, MovePlanned, MoveTaken, AdapterAsked, PlanState,
 	}
 }
--- /dev/null
+++ b/integration/gateway_crash_test.go
@@ -0,0 +1,40 @@
+package integration
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/zinniaroute/zinniaroute/transport/group"
+)
+
+func TestGatewayQuarantinesARequestThatCrashesRunners(t *testing.T) {
+	d := calmDeployment(t)
+	d.addRunner("r3", modelService, "large")
+	d.addRunner("r4", modelService, "large")
+	d.addGateway("vm-2")
+	d.waitRunners("vm-2")
+	models := []string{"r1", "r2", "r3", "r4"}
+	for _, id := range models {
+		d.runners[id].CrashOn("poison")
+	}
+	for i := range 24 {
+		d.askBody([]string{"vm-1", "vm-2"}[i%2], modelPath, "large", []byte("poison"))
+		group.Sleep(t.Context(), 200*time.Millisecond)
+	}
+	poisoned := 0
+	for _, id := range models {
+		for _, run := range d.runners[id].Runs() {
+			if run.Body == "poison" {
+				poisoned++
+			}
+		}
+	}
+	assert.Assert(t, poisoned >= 2 && poisoned <= 4, "the request reached runners %d times", poisoned)
+	r := d.askBody("vm-1", modelPath, "large", []byte("poison"))
+	assert.Equal(t, r.status, 503)
+	assert.Assert(t, r.retryAfter != "")
+	group.Sleep(t.Context(), 2*time.Second)
+	assert.Equal(t, d.ask("vm-1", modelPath, "large").status, 200)
+}
--- a/layers/layers_test.go
+++ b/layers/layers_test.go
@@ -11,8 +11,12 @@
 
 const module = "github.com/zinniaroute/zinniaroute/"
 
-// order lists the layers from the top down; a package imports only from its own layer and those below.
-var order = []string{"cmd", "cli", "embedded", "load", "standin", "transport", "protocol", "coordination", "state"}
+// order lists the layers from the top down; a package imports only from its own layer and those below. The adapter to
+// the users' platform calls through the transport and is called by it.
+var order = [][]string{
+	{"cmd"}, {"cli"}, {"embedded"}, {"load"}, {"standin"}, {"transport", "platform"}, {"protocol"}, {"coordination"},
+	{"state"},
+}
 
 // leaves may be imported from every layer.
 var leaves = []string{"document", "eventlog", "settings", "samples"}
@@ -22,12 +26,16 @@
 	return layer
 }
 
+func rankOf(path string) int {
+	return slices.IndexFunc(order, func(layer []string) bool { return slices.Contains(layer, layerOf(path)) })
+}
+
 func TestImportsPointDown(t *testing.T) {
 	output, err := exec.Command("go", "list", "-f", "{{.ImportPath}} {{join .Imports \" \"}}", "../...").Output()
 	assert.NilError(t, err)
 	for _, line := range strings.Split(strings.TrimSpace(string(output)), "\n") {
 		fields := strings.Fields(line)
-		from := slices.Index(order, layerOf(fields[0]))
+		from := rankOf(fields[0])
 		if from < 0 {
 			continue
 		}
@@ -35,7 +43,7 @@
 			if !strings.HasPrefix(imported, module) || slices.Contains(leaves, layerOf(imported)) {
 				continue
 			}
-			to := slices.Index(order, layerOf(imported))
+			to := rankOf(imported)
 			assert.Check(t, to >= from, "%s imports %s", fields[0], imported)
 		}
 	}
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -8,6 +8,7 @@
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/orders"
+	"github.com/zinniaroute/zinniaroute/state/quarantine"
 )
 
 // The names of the calls.
@@ -50,6 +51,8 @@
 	// Gatherer and Heard name the process that last answered and how many changes of runners it had told by then.
 	Gatherer string `cbor:"7,keyasint,omitempty"`
 	Heard    uint64 `cbor:"8,keyasint,omitempty"`
+	// Suspicions are requests under which endpoints were lost, since the last digest.
+	Suspicions []quarantine.Suspicion `cbor:"9,keyasint,omitempty"`
 }
 
 // Summary is what the gathering VM tells another.
@@ -71,6 +74,8 @@
 	// Gatherer names the answering process, and Told is the number of changes of runners that it has told.
 	Gatherer string `cbor:"8,keyasint"`
 	Told     uint64 `cbor:"9,keyasint"`
+	// Suspicions are those that any VM has told lately.
+	Suspicions []quarantine.Suspicion `cbor:"10,keyasint,omitempty"`
 }
 
 // NeedRequest asks for an adapter on a runner.
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -83,8 +83,14 @@
 	breakAfter int
 	failures   int
 	leaving    bool
+	// poison is the body of requests that crash the runner, which is then down for crashTime.
+	poison    string
+	downUntil time.Time
 }
 
+// crashTime is how long a runner is down after a crash.
+const crashTime = 2 * time.Second
+
 // New returns a runner that holds its first models.
 func New(options Options) *Runner {
 	return &Runner{options: options, models: slices.Clone(options.Models), born: time.Now().UnixMilli(), breakAfter: -1}
@@ -133,6 +139,28 @@
 	r.breakAfter = events
 }
 
+// CrashOn has requests with a body crash the runner.
+func (r *Runner) CrashOn(body string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.poison = body
+}
+
+// crashed reports whether the runner is down, or crashes on this request, which counts as a run.
+func (r *Runner) crashed(now time.Time, c *app.RequestContext) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Before(r.downUntil) {
+		return true
+	}
+	if r.poison == "" || string(c.Request.Body()) != r.poison {
+		return false
+	}
+	r.runs = append(r.runs, Run{Attempt: string(c.GetHeader(headerAttempt)), Body: r.poison})
+	r.downUntil = now.Add(crashTime)
+	return true
+}
+
 // Fail answers the next requests with failures of the runner's own.
 func (r *Runner) Fail(requests int) {
 	r.mu.Lock()
@@ -298,6 +326,10 @@
 	if r.misdirected(c) {
 		return
 	}
+	if r.crashed(time.Now(), c) {
+		_ = c.GetConn().Close()
+		return
+	}
 	number, breakAfter, ok := r.begin(c)
 	if !ok {
 		return
--- a/state/dispatch/desk.go
+++ b/state/dispatch/desk.go
@@ -22,7 +22,7 @@
 	// the price of an order.
 	adapterCost = 60 * time.Millisecond
 	// crossDomain is the cost of leaving the failure domain: a round trip and the price of the bytes.
-	crossDomain = 4 * time.Millisecond
+	crossDomain = 25 * time.Millisecond
 	// failureCost is what a certain failure weighs as time.
 	failureCost = 4 * time.Second
 	// plainWork is the time that a plain endpoint is assumed to work on a request; source: the sheets (30 to 60 ms).
--- a/state/quarantine/desk.go
+++ b/state/quarantine/desk.go
@@ -181,6 +181,18 @@
 	}
 }
 
+// Recent returns the suspicions whose latest crash is not older than an age.
+func (d *Desk) Recent(now time.Time, age time.Duration) []Suspicion {
+	var recent []Suspicion
+	for _, s := range d.suspicions {
+		if now.Sub(s.At) <= age {
+			recent = append(recent, s)
+		}
+	}
+	slices.SortFunc(recent, compare)
+	return recent
+}
+
 // All returns every suspicion sorted by fingerprint.
 func (d *Desk) All() []Suspicion {
 	all := make([]Suspicion, 0, len(d.suspicions))
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -14,6 +15,7 @@
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
+	"github.com/zinniaroute/zinniaroute/state/quarantine"
 	"github.com/zinniaroute/zinniaroute/state/routes"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 	"github.com/zinniaroute/zinniaroute/transport/httpcall"
@@ -129,6 +131,7 @@
 		x.gateway.desk.Ended(now, x.ticket, dispatch.Dropped)
 	case sent:
 		x.gateway.desk.Ended(now, x.ticket, dispatch.Failed)
+		x.suspect(now, err)
 	default:
 		x.gateway.desk.Unreached(now, x.ticket)
 	}
@@ -141,6 +144,29 @@
 	return x.step(ctx, lifecycle.Unreached{})
 }
 
+// suspect notes that a model runner ended its connection under the request, which may have crashed it; the lock must be
+// held. Requests to plain services are left out, since different ones can look the same.
+func (x *exchange) suspect(now time.Time, err error) {
+	if x.request.Unit.Model == "" {
+		return
+	}
+	if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		return
+	}
+	early := now.Sub(x.sent) < earlyCrash
+	x.gateway.suspects.Lost(now, quarantine.Fingerprint(x.request.Print), x.choice.Runner.ID, early)
+}
+
+// earlyCrash is the time within which an endpoint that crashes on a request does so.
+const earlyCrash = 2 * time.Second
+
+// cleared notes that the request has been answered whole.
+func (x *exchange) cleared() {
+	x.gateway.mu.Lock()
+	defer x.gateway.mu.Unlock()
+	x.gateway.suspects.Finished(quarantine.Fingerprint(x.request.Print), x.choice.Runner.ID)
+}
+
 // lost makes sure that a request that was sent counts as possibly run, also when its time has ended.
 func (x *exchange) lost(ctx context.Context) {
 	if ctx.Err() != nil {
@@ -221,6 +247,7 @@
 	case err == nil:
 		x.call.Done()
 		x.ended(dispatch.Served)
+		x.cleared()
 		return x.machine.Step(clock.Now(), lifecycle.Completed{})
 	case errors.Is(err, errCallerGone) || ctx.Err() != nil:
 		x.call.Abort()
@@ -232,6 +259,9 @@
 	default:
 		x.call.Abort()
 		x.ended(dispatch.Failed)
+		x.gateway.mu.Lock()
+		x.suspect(clock.Now(), err)
+		x.gateway.mu.Unlock()
 		x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, true, err)
 		return x.step(ctx, lifecycle.Broken{Resumable: x.route.Resumable})
 	}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
 	"github.com/zinniaroute/zinniaroute/state/orders"
+	"github.com/zinniaroute/zinniaroute/state/quarantine"
 	"github.com/zinniaroute/zinniaroute/state/routes"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 	"github.com/zinniaroute/zinniaroute/transport/group"
@@ -72,6 +73,7 @@
 	graceUntil time.Time
 	// entries are the runners' entries as last read, without their revisions.
 	entries    map[string]fleet.Runner
+	suspects   *quarantine.Desk
 	owners     *ownership.Desk
 	ordered    map[string]*orderedRunner
 	loadPlaces map[string]bool
@@ -128,6 +130,7 @@
 			Validity: orderValidity, Pause: s.Bounds.TakeOver.Duration, Settle: settleTime,
 		}),
 		relay:      relay.NewLog(),
+		suspects:   quarantine.NewDesk(),
 		entries:    make(map[string]fleet.Runner),
 		ordered:    make(map[string]*orderedRunner),
 		loadPlaces: make(map[string]bool),
--- a/transport/gateway/gather.go
+++ b/transport/gateway/gather.go
@@ -23,6 +23,8 @@
 	silentTime = 3 * time.Second
 	// planInterval is how often the gathering VM plans.
 	planInterval = 250 * time.Millisecond
+	// suspicionAge is the age up to which the gathering VM hands on suspicions: some exchanges.
+	suspicionAge = 3 * time.Second
 	// viewAge is the age up to which a VM hands on what the store says.
 	viewAge = 1500 * time.Millisecond
 	// useMemory is the time for which uses of adapters are told.
@@ -87,6 +89,7 @@
 	d := &vm.Digest{
 		VM: g.settings.Name, Shares: g.desk.Shares(now), Demand: make(map[string]allocation.Demand),
 		Known: g.known, Gatherer: g.gatherer, Heard: g.told,
+		Suspicions: g.suspects.News(),
 	}
 	for service, meter := range g.meters {
 		d.Demand[service] = meter.Rates(now)
@@ -134,6 +137,8 @@
 		Gatherer: g.incarnation,
 		Grace:    max(0, g.graceUntil.Sub(now)),
 	}
+	g.suspects.Learn(now, d.Suspicions)
+	s.Suspicions = g.suspects.Recent(now, suspicionAge)
 	if view, ok := g.relay.Since(now, d.Known, viewAge); ok && d.VM != g.settings.Name {
 		s.View = &view
 	}
@@ -171,6 +176,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.gatherer, g.told = s.Gatherer, s.Told
+	g.suspects.Learn(now, s.Suspicions)
 	for _, runner := range g.directory.All() {
 		g.desk.SetOthers(runner.ID, s.Shares[runner.ID])
 	}
--- a/transport/gateway/place.go
+++ b/transport/gateway/place.go
@@ -11,6 +11,7 @@
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
+	"github.com/zinniaroute/zinniaroute/state/quarantine"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 )
 
@@ -29,6 +30,9 @@
 
 // place chooses an endpoint for a request, or says why none takes it.
 func (g *Gateway) place(ctx context.Context, x *exchange) (dispatch.Choice, *lifecycle.NoneFree) {
+	if refusal := g.quarantined(x); refusal != nil {
+		return dispatch.Choice{}, refusal
+	}
 	excluded := x.machine.Excluded()
 	waitUntil := x.request.Arrived.Add(min(absentWait, x.request.Deadline.Sub(x.request.Arrived)/2))
 	tries := 0
@@ -83,6 +87,18 @@
 	return ctx.Err() == nil
 }
 
+// quarantined refuses a request that has crashed several endpoints.
+func (g *Gateway) quarantined(x *exchange) *lifecycle.NoneFree {
+	g.mu.Lock()
+	wait := g.suspects.Refused(clock.Now(), quarantine.Fingerprint(x.request.Print))
+	g.mu.Unlock()
+	if wait <= 0 {
+		return nil
+	}
+	g.log.Emit(eventlog.Quarantined, x.request.ID, x.request.Print, wait.Milliseconds())
+	return &lifecycle.NoneFree{Reason: "the request has crashed several endpoints", RetryAfter: wait}
+}
+
 func prospect(c dispatch.Choice) admission.Prospect {
 	return admission.Prospect{Wait: c.Wait, Duty: c.Duty, Unread: c.Unread, Backlog: c.Backlog}
 }
