--- a/state/dispatch/desk.go
+++ b/state/dispatch/desk.go
@@ -35,6 +35,10 @@
 	silentPause = 250 * time.Millisecond
 	silentMax   = 2 * time.Second
 	maxCached   = 4096
+	// cutWindow is the time within which two runners of a failure domain that are not reached show that it is cut off, and
+	// cutPause the time for which it is then avoided.
+	cutWindow = time.Second
+	cutPause  = time.Second
 	// leastPaceTokens is the size of a prompt from which its time shows the pace of its model.
 	leastPaceTokens = 1500
 	// paceWeight is the weight of one measurement in a model's pace, and leastPace and mostPace bound it.
@@ -49,6 +53,8 @@
 type Desk struct {
 	domain string
 	loads  map[string]*load
+	// silences are the failure domains whose runners were not reached.
+	silences map[string]silence
 	// paces are the logarithms of the measured paces of models.
 	paces map[string]float64
 	// cached is when a chain of parts was last sent to a runner.
@@ -67,6 +73,8 @@
 		loads:  make(map[string]*load),
 		cached: make(map[chainKey]time.Time),
 		paces:  make(map[string]float64),
+
+		silences: make(map[string]silence),
 	}
 }
 
@@ -141,7 +149,7 @@
 		if r.Unit.Adapter != "" && unordered && !runner.Holdings.Has(r.Unit) {
 			continue
 		}
-		if now.Before(l.silentUntil) || now.Before(l.fullUntil) {
+		if now.Before(l.silentUntil) || now.Before(l.fullUntil) || l.overdue(now) || d.cutOff(now, runner.Domain) {
 			doubtful = append(doubtful, runner)
 			continue
 		}
@@ -255,7 +263,9 @@
 	work  int
 	clean bool
 	model string
-	sent  time.Time
+	// domain is the runner's failure domain.
+	domain string
+	sent   time.Time
 	// wait is the predicted time to the first byte, without the runner's slowness.
 	wait    time.Duration
 	begun   bool
@@ -272,6 +282,8 @@
 		model: r.Unit.Model, clean: l.backlog() == 0,
 	}
 	t.work = int(float64(t.unread) * d.Pace(t.model))
+	t.domain = choice.Runner.Domain
+	l.waiting = append(l.waiting, t)
 	l.running++
 	l.addRead(now, t.work)
 	l.pending[t.rank] += t.work
@@ -299,6 +311,7 @@
 	}
 	t.begun = true
 	l := d.load(t.Runner)
+	l.waiting = slices.DeleteFunc(l.waiting, func(w *Ticket) bool { return w == t })
 	l.pending[t.rank] -= t.work
 	l.misses = 0
 	l.measure(now, now.Sub(t.sent), t.wait)
@@ -317,6 +330,7 @@
 		l.pending[t.rank] -= t.work
 	}
 	t.stopped = true
+	l.waiting = slices.DeleteFunc(l.waiting, func(w *Ticket) bool { return w == t })
 	l.running--
 	switch outcome {
 	case Served:
@@ -334,6 +348,7 @@
 	d.Ended(now, t, Dropped)
 	l := d.load(t.Runner)
 	l.misses++
+	d.noteSilent(now, t)
 	l.silentUntil = now.Add(min(silentMax, silentPause<<min(l.misses-1, 4)))
 }
 
@@ -342,6 +357,30 @@
 	d.load(runner).unorderedUntil = now.Add(unorderedPause)
 }
 
+// silence is the last runner of a failure domain that was not reached, and until when the domain is avoided.
+type silence struct {
+	runner string
+	at     time.Time
+	until  time.Time
+}
+
+// noteSilent avoids another failure domain for a while once two of its runners were not reached: it is cut off.
+func (d *Desk) noteSilent(now time.Time, t *Ticket) {
+	if t.domain == d.domain {
+		return
+	}
+	s := d.silences[t.domain]
+	if s.runner != "" && s.runner != t.Runner && now.Sub(s.at) < cutWindow {
+		s.until = now.Add(cutPause)
+	}
+	s.runner, s.at = t.Runner, now
+	d.silences[t.domain] = s
+}
+
+func (d *Desk) cutOff(now time.Time, domain string) bool {
+	return domain != d.domain && now.Before(d.silences[domain].until)
+}
+
 // SetOthers takes in what the other VMs have sent to an endpoint.
 func (d *Desk) SetOthers(runner string, share Share) { d.load(runner).others = share }
 
--- a/state/dispatch/desk_test.go
+++ b/state/dispatch/desk_test.go
@@ -156,3 +156,38 @@
 	assert.Assert(t, d.Pace("m") < 0.35, d.Pace("m"))
 	assert.Equal(t, d.Pace("other"), 1.0)
 }
+
+// In a partition, requests were sent on open connections to the other side for three seconds, until these were found dead.
+func TestARunnerWithAnOverdueAnswerIsLeft(t *testing.T) {
+	runners := runnersOf(2)
+	d := NewDesk("a")
+	ticket := d.Sent(start, quick(), Choice{Runner: runners[0], Wait: 20 * time.Millisecond})
+	for i := range 20 {
+		choice, _ := d.Choose(start.Add(time.Second), draft(uint64(i)), runners, nil)
+		assert.Equal(t, choice.Runner.ID, "r1")
+	}
+	d.Began(start.Add(time.Second), ticket)
+	used := map[string]bool{}
+	for i := range 20 {
+		choice, _ := d.Choose(start.Add(10*time.Second), draft(uint64(i)), runners, nil)
+		used[choice.Runner.ID] = true
+	}
+	assert.Equal(t, len(used), 2)
+}
+
+func TestAFailureDomainThatIsCutOffIsLeft(t *testing.T) {
+	runners := runnersOf(6)
+	for i := range runners {
+		runners[i].Domain = []string{"a", "b"}[i%2]
+	}
+	d := NewDesk("a")
+	for _, i := range []int{1, 3} {
+		d.Unreached(start, d.Sent(start, quick(), Choice{Runner: runners[i]}))
+	}
+	for i := range 30 {
+		choice, _ := d.Choose(start.Add(300*time.Millisecond), draft(uint64(i)), runners, nil)
+		assert.Equal(t, choice.Runner.Domain, "a")
+	}
+	_, ok := d.Choose(start.Add(300*time.Millisecond), quick(), runners[5:6], nil)
+	assert.Assert(t, ok, "a runner that may be cut off is better than none")
+}
--- a/state/dispatch/load.go
+++ b/state/dispatch/load.go
@@ -87,6 +87,8 @@
 	// silentUntil is when an endpoint that was not reached is tried again.
 	silentUntil time.Time
 	misses      int
+	// waiting are the requests whose answers have not begun.
+	waiting []*Ticket
 	// unorderedUntil is when the runner's owner is asked for an adapter again.
 	unorderedUntil time.Time
 }
@@ -141,6 +143,24 @@
 // step with a prompt's piece takes about 0.1 s at 38 tokens a ms).
 const pieceTokens = 4096
 
+// overdue reports whether a request has waited for its answer's first byte for far longer than predicted, as one does
+// that was sent into a network partition or to an endpoint that fell silent.
+func (l *load) overdue(now time.Time) bool {
+	for _, t := range l.waiting {
+		if now.Sub(t.sent) > max(leastOverdue, overdueFactor*t.wait) {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// leastOverdue and overdueFactor tell from when an answer is overdue; nine in ten begin within three times the
+	// prediction or 0.3 s.
+	leastOverdue  = 800 * time.Millisecond
+	overdueFactor = 5
+)
+
 func (l *load) addRead(now time.Time, tokens int) {
 	l.read, l.readAt = decay(l.read, now.Sub(l.readAt), readHalfLife)+float64(tokens), now
 }
