--- a/integration/gateway_harness_test.go
+++ b/integration/gateway_harness_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -19,6 +17,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/zinniaroute/zinniaroute/standin/caller"
 	"github.com/zinniaroute/zinniaroute/standin/metadata"
 	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
 	"github.com/zinniaroute/zinniaroute/transport/group"
@@ -82,38 +81,39 @@
 }
 
 // configure writes a configuration with the routes of the tests and a time limit for streams.
-func (d *deployment) configure(version, timeoutMS int, more ...map[string]any) {
-	models := []map[string]any{
-		{"name": "large", "weights_mb": 80, "load_s": 0.2, "warm_s": 0.1, "disk_s": 0.1, "adapters": 9, "adapter_mb": 1},
-		{"name": "small", "weights_mb": 80, "load_s": 0.2, "warm_s": 0.1, "disk_s": 0.1, "adapters": 9, "adapter_mb": 1},
+func (d *deployment) configure(version, timeoutMS int, more ...caller.Route) {
+	model := func(name string) caller.Model {
+		return caller.Model{Name: name, MemoryMB: 80, LoadS: 0.2, WarmS: 0.1, DiskS: 0.1, Adapters: 9, AdapterMB: 1}
 	}
-	route := func(name, prefix, kind, service string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": testHost, "prefix": prefix, "kind": kind, "timeout_ms": timeoutMS,
-			"target_latency_ms": 2000, "priority": 1, "service": service, "max_attempts": attempts,
-			"resumable": resumable, "gap_aim_ms": 600,
+	route := func(name, prefix, kind, service string, attempts int, resumable bool) caller.Route {
+		return caller.Route{
+			Name: name, Host: testHost, Prefix: prefix, Kind: kind, TimeoutMS: timeoutMS, TargetMS: 2000, Priority: 1,
+			Service: service, Attempts: attempts, Resumable: resumable, PauseMS: 600,
 		}
 	}
-	all := append([]map[string]any{
+	all := append([]caller.Route{
 		route("models", "/models/", "streaming", modelService, 1, false),
 		route("resume", "/resume/", "streaming", modelService, 3, true),
 		route("book", "/book/", "unsafe", plainService, 2, false),
 		route("look", "/look/", "safe", plainService, 2, false),
 	}, more...)
-	data, err := json.Marshal(map[string]any{
-		"version": version, "routes": all,
-		"services": []map[string]any{
-			{"name": modelService, "health_path": "/health", "max_connections": 100, "engine": map[string]any{
-				"slots": 8, "kv_capacity": 100_000, "models": models, "weights_mb": 200, "adapter_slots": 2, "loads_per_s": 5,
-			}},
-			{"name": plainService, "health_path": "/health", "max_connections": 100},
-		},
-		"limits": map[string]any{
-			"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
-		},
+	data, err := caller.Configuration(version, all, []caller.Service{
+		{Name: modelService, HealthPath: "/health", Connections: 100, Engine: &caller.Engine{
+			Slots: 8, Tokens: 100_000, Models: []caller.Model{model("large"), model("small")},
+			MemoryMB: 200, AdapterSlots: 2, LoadsPerS: 5,
+		}},
+		{Name: plainService, HealthPath: "/health", Connections: 100},
 	})
 	assert.NilError(d.t, err)
-	d.store.Put("op/config", data)
+	d.store.Put(caller.ConfigurationKey, data)
+}
+
+// plainRoute returns a further route to the plain service.
+func plainRoute(name string) caller.Route {
+	return caller.Route{
+		Name: name, Host: testHost, Prefix: "/" + name + "/", Kind: "safe", TimeoutMS: 1000, TargetMS: 100, Priority: 1,
+		Service: plainService, Attempts: 1,
+	}
 }
 
 // addRunner starts a runner that writes its entry several times a second.
@@ -135,7 +135,7 @@
 	ctx, cancel := context.WithCancel(d.group.Context())
 	d.beats[options.ID] = cancel
 	d.group.Run("heartbeat", func(context.Context) {
-		_ = group.Every(ctx, 300*time.Millisecond, func(time.Time) { d.store.Put("servers/"+options.ID, runner.Entry()) })
+		_ = group.Every(ctx, 300*time.Millisecond, func(time.Time) { d.store.Put(caller.RunnerKeys+options.ID, runner.Entry()) })
 	})
 	return runner
 }
@@ -178,7 +178,7 @@
 }
 
 func (d *deployment) ready(name string) bool {
-	response, err := http.Get("http://" + d.gateways[name].readiness.String() + "/zinniaroute/ready")
+	response, err := http.Get("http://" + d.gateways[name].readiness.String() + caller.ReadyPath)
 	if err != nil {
 		return false
 	}
@@ -237,22 +237,12 @@
 func newRequest(ctx context.Context, node gatewayNode, path, model string, body []byte) *http.Request {
 	n := <-attempts
 	attempts <- n + 1
-	method := http.MethodPost
-	if path == safePath {
-		method = http.MethodGet
-	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+node.callers.String()+path, bytes.NewReader(body))
+	request, err := caller.New(ctx, node.callers, caller.Request{
+		Attempt: fmt.Sprintf("attempt-%d", n), Host: testHost, Path: path, Get: path == safePath, Model: model, Body: body,
+	})
 	if err != nil {
 		panic(err)
 	}
-	request.Host = testHost
-	request.Header.Set("X-Zinniaroute-Attempt-Id", fmt.Sprintf("attempt-%d", n))
-	request.Header.Set("X-Zinniaroute-Deadline-Ms", "8000")
-	if model != "" {
-		request.Header.Set("X-Zinniaroute-Model", model)
-		request.Header.Set("X-Zinniaroute-Token-Count", "100,50")
-		request.Header.Set("X-Zinniaroute-Prompt-Prefix", "a1:50,b2:50")
-	}
 	return request
 }
 
@@ -269,7 +259,7 @@
 	_ = response.Body.Close()
 	return reply{
 		status: response.StatusCode, body: string(data), err: err,
-		seal: response.Header.Get("X-Zinniaroute-Response-Seal"), retryAfter: response.Header.Get("Retry-After"),
+		seal: caller.Seal(response), retryAfter: response.Header.Get("Retry-After"),
 	}
 }
 
--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/zinniaroute/zinniaroute/standin/caller"
 	"github.com/zinniaroute/zinniaroute/standin/fault"
 	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
 )
@@ -164,10 +165,7 @@
 	d := calmDeployment(t)
 	d.addGateway("vm-2")
 	d.waitRunners("vm-2")
-	d.configure(2, 10_000, map[string]any{
-		"name": "more", "host": testHost, "prefix": "/more/", "kind": "safe", "timeout_ms": 1000,
-		"target_latency_ms": 100, "priority": 1, "service": plainService, "max_attempts": 1,
-	})
+	d.configure(2, 10_000, plainRoute("more"))
 	written := time.Now()
 	for _, vm := range []string{"vm-1", "vm-2"} {
 		waitUntil(t, "the new route on "+vm, func() bool { return d.ask(vm, "/more/x", "").status == 200 })
@@ -178,7 +176,7 @@
 func TestGatewaySendsNothingNewToALeavingRunner(t *testing.T) {
 	d := calmDeployment(t)
 	d.runners["p1"].Leave()
-	d.store.Put("servers/p1", d.runners["p1"].Entry())
+	d.store.Put(caller.RunnerKeys+"p1", d.runners["p1"].Entry())
 	told := time.Now()
 	for time.Since(told) < 2*time.Second {
 		d.ask("vm-1", safePath, "")
@@ -198,10 +196,7 @@
 		assert.Equal(t, d.ask("vm-1", unsafePath, "").status, 200)
 	}
 	d.store.Faults.Set(fault.Faults{})
-	d.configure(2, 10_000, map[string]any{
-		"name": "back", "host": testHost, "prefix": "/back/", "kind": "safe", "timeout_ms": 1000,
-		"target_latency_ms": 100, "priority": 1, "service": plainService, "max_attempts": 1,
-	})
+	d.configure(2, 10_000, plainRoute("back"))
 	waitUntil(t, "the configuration written after the outage", func() bool {
 		return d.ask("vm-1", "/back/x", "").status == 200
 	})
@@ -209,21 +204,18 @@
 
 func TestGatewayFollowsAStoreThatForgot(t *testing.T) {
 	d := calmDeployment(t)
-	d.store.Remove("servers/p1")
+	d.store.Remove(caller.RunnerKeys + "p1")
 	d.beats["p1"]()
 	d.store.Forget()
-	d.configure(2, 10_000, map[string]any{
-		"name": "after", "host": testHost, "prefix": "/after/", "kind": "safe", "timeout_ms": 1000,
-		"target_latency_ms": 100, "priority": 1, "service": plainService, "max_attempts": 1,
-	})
+	d.configure(2, 10_000, plainRoute("after"))
 	waitUntil(t, "the route", func() bool { return d.ask("vm-1", "/after/x", "").status == 200 })
 }
 
 func TestGatewayIgnoresEntriesThatCannotBeRead(t *testing.T) {
 	d := calmDeployment(t)
 	for key, value := range map[string]string{
-		"servers/bad-1": "not json", "servers/bad-2": `{"service":7}`, "servers/bad-3": `{"service":"plain","address":"x"}`,
-		"servers/bad-4": `{"service":"plain","address":"127.0.0.1:1","state":"odd"}`,
+		caller.RunnerKeys + "bad-1": "not json", caller.RunnerKeys + "bad-2": `{"service":7}`, caller.RunnerKeys + "bad-3": `{"service":"plain","address":"x"}`,
+		caller.RunnerKeys + "bad-4": `{"service":"plain","address":"127.0.0.1:1","state":"odd"}`,
 	} {
 		d.store.Put(key, []byte(value))
 	}
@@ -277,7 +269,7 @@
 
 func TestGatewayWithoutAConfigurationIsNotReadyAndRefuses(t *testing.T) {
 	d := newDeployment(t)
-	d.store.Remove("op/config")
+	d.store.Remove(caller.ConfigurationKey)
 	node := d.startGateway("vm-1")
 	waitUntil(t, "the process answers 503", func() bool {
 		response, err := http.Get("http://" + node.callers.String() + safePath)
--- a/layers/layers_test.go
+++ b/layers/layers_test.go
@@ -14,7 +14,14 @@
 // order lists the layers from the top down; a package imports only from its own layer and those below. The adapter to
 // the users' platform calls through the transport and is called by it.
 var order = [][]string{
-	{"cmd"}, {"cli"}, {"embedded"}, {"load"}, {"standin"}, {"transport", "platform"}, {"protocol"}, {"coordination"},
+	{"cmd"},
+	{"cli"},
+	{"embedded"},
+	{"load"},
+	{"standin"},
+	{"transport", "platform"},
+	{"protocol"},
+	{"coordination"},
 	{"state"},
 }
 
--- /dev/null
+++ b/standin/caller/caller.go
@@ -0,0 +1,110 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+)
+
+// The platform's names that tests need.
+const (
+	// ReadyPath is where the platform asks whether a VM takes callers.
+	ReadyPath = "/zinniaroute/ready"
+	// ConfigurationKey and RunnerKeys are where the store has the configuration and the runners' entries.
+	ConfigurationKey = "op/config"
+	RunnerKeys       = "servers/"
+
+	headerSeal = "X-Zinniaroute-Response-Seal"
+)
+
+// Request is what a caller asks for.
+type Request struct {
+	Attempt string
+	Host    string
+	Path    string
+	// Get asks with GET instead of POST.
+	Get bool
+	// Model names a model, or an adapter after a slash; it is empty for plain services.
+	Model string
+	Body  []byte
+}
+
+// New returns the HTTP request to a VM.
+func New(ctx context.Context, vm netip.AddrPort, r Request) (*http.Request, error) {
+	method := http.MethodPost
+	if r.Get {
+		method = http.MethodGet
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+vm.String()+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
+	request.Host = r.Host
+	request.Header.Set("X-Zinniaroute-Attempt-Id", r.Attempt)
+	request.Header.Set("X-Zinniaroute-Deadline-Ms", "8000")
+	if r.Model != "" {
+		request.Header.Set("X-Zinniaroute-Model", r.Model)
+		request.Header.Set("X-Zinniaroute-Token-Count", "100,50")
+		request.Header.Set("X-Zinniaroute-Prompt-Prefix", "a1:50,b2:50")
+	}
+	return request, nil
+}
+
+// Seal returns the signature of the runner that answered, or "".
+func Seal(response *http.Response) string { return response.Header.Get(headerSeal) }
+
+// Route is a route of a configuration.
+type Route struct {
+	Name      string `json:"name"`
+	Host      string `json:"host"`
+	Prefix    string `json:"prefix"`
+	Kind      string `json:"kind"`
+	TimeoutMS int    `json:"timeout_ms"`
+	TargetMS  int    `json:"target_latency_ms"`
+	Priority  int    `json:"priority"`
+	Service   string `json:"service"`
+	Attempts  int    `json:"max_attempts"`
+	Resumable bool   `json:"resumable"`
+	PauseMS   int    `json:"gap_aim_ms"`
+}
+
+// Model is a model of a configuration, with its memory and its times of loading.
+type Model struct {
+	Name      string  `json:"name"`
+	MemoryMB  float64 `json:"weights_mb"`
+	LoadS     float64 `json:"load_s"`
+	WarmS     float64 `json:"warm_s"`
+	DiskS     float64 `json:"disk_s"`
+	Adapters  int     `json:"adapters"`
+	AdapterMB float64 `json:"adapter_mb"`
+}
+
+// Engine describes the runners of a service.
+type Engine struct {
+	Slots        int     `json:"slots"`
+	Tokens       int     `json:"kv_capacity"`
+	Models       []Model `json:"models"`
+	MemoryMB     float64 `json:"weights_mb"`
+	AdapterSlots int     `json:"adapter_slots"`
+	LoadsPerS    float64 `json:"loads_per_s"`
+}
+
+// Service is a service of a configuration; plain services have no engine.
+type Service struct {
+	Name        string  `json:"name"`
+	HealthPath  string  `json:"health_path"`
+	Connections int     `json:"max_connections"`
+	Engine      *Engine `json:"engine,omitempty"`
+}
+
+// Configuration returns the value that an operator writes.
+func Configuration(version int, routes []Route, services []Service) ([]byte, error) {
+	return json.Marshal(map[string]any{
+		"version": version, "routes": routes, "services": services,
+		"limits": map[string]any{
+			"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+		},
+	})
+}
