Add a fault soak of the gateway with real processes

Three gateways as processes against stand-ins; kills, planned stops, pauses, reloads, a store that is down or loses answers, broken and failing runners, configurations in quick succession. Checked: refused requests never run, unsafe and plain streams run once, events whole and in order, fencing numbers rise, orders of two VMs are the pause apart, runners are never ordered too much, every VM serves again.

--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -260,9 +260,9 @@
 	waitUntil(t, "another adapter", func() bool { return d.ask("vm-1", modelPath, "large/a9").status == 200 })
 	assert.Assert(t, time.Since(began) < 6*time.Second, "ordered after %v", time.Since(began))
 	for _, id := range []string{"r1", "r2"} {
-		_, fences := d.runners[id].Orders()
-		for i := 1; i < len(fences); i++ {
-			assert.Assert(t, fences[i] >= fences[i-1])
+		orders := d.runners[id].Orders()
+		for i := 1; i < len(orders); i++ {
+			assert.Assert(t, orders[i].Fence >= orders[i-1].Fence)
 		}
 	}
 }
--- /dev/null
+++ b/integration/soak_test.go
@@ -0,0 +1,204 @@
+package integration
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/zinniaroute/zinniaroute/standin/caller"
+	"github.com/zinniaroute/zinniaroute/standin/fault"
+	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
+	"github.com/zinniaroute/zinniaroute/transport/group"
+)
+
+var (
+	soakSeed  = flag.Uint64("soak.seed", 1, "first seed of the fault soak")
+	soakSeeds = flag.Int("soak.seeds", 1, "number of seeds of the fault soak")
+	soakPorts = flag.Int("soak.ports", 0, "ports to leave out, so that several soaks run side by side")
+	soakTime  = flag.Duration("soak.time", 12*time.Second, "time of faults for each seed")
+)
+
+// soak drives gateways under random faults and remembers what callers saw.
+type soak struct {
+	*deployment
+	random  *rand.Rand
+	version int
+
+	mu      sync.Mutex
+	refused map[string]bool
+	served  int
+	broken  []string
+}
+
+// TestSoak checks the promises to callers while processes are killed, stopped, paused and restarted, the store is away or
+// slow or loses answers, runners break off and leave, and configurations change, in series and overlapping.
+func TestSoak(t *testing.T) {
+	portsTaken.Add(int32(*soakPorts))
+	for i := range *soakSeeds {
+		seed := *soakSeed + uint64(i)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, seed) })
+	}
+}
+
+func runSoak(t *testing.T, seed uint64) {
+	t.Helper()
+	s := &soak{
+		deployment: newDeployment(t), random: rand.New(rand.NewPCG(seed, 0)), version: 1, refused: make(map[string]bool),
+	}
+	for _, id := range []string{"r1", "r2", "r3"} {
+		s.addRunner(id, modelService, "large", "small")
+	}
+	for _, id := range []string{"p1", "p2", "p3"} {
+		s.addRunner(id, plainService)
+	}
+	vms := []string{"vm-1", "vm-2", "vm-3"}
+	for _, vm := range vms {
+		s.addGateway(vm)
+	}
+	s.waitRunners("vm-1")
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	for i := range 9 {
+		callers.Go(func() { s.call(ctx, vms[i%len(vms)], rand.New(rand.NewPCG(seed, uint64(i+1)))) })
+	}
+	for until := time.Now().Add(*soakTime); time.Now().Before(until); {
+		s.strike(vms)
+		group.Sleep(ctx, time.Duration(100+s.random.IntN(900))*time.Millisecond)
+	}
+	s.heal(vms)
+	for _, vm := range vms {
+		s.waitRunners(vm)
+	}
+	cancel()
+	callers.Wait()
+	s.check()
+}
+
+// strike brings one fault about, or ends one.
+func (s *soak) strike(vms []string) {
+	vm := vms[s.random.IntN(len(vms))]
+	runner := []string{"r1", "r2", "r3", "p1", "p2", "p3"}[s.random.IntN(6)]
+	switch s.random.IntN(9) {
+	case 0:
+		s.restart(vm, syscall.SIGKILL)
+	case 1:
+		s.restart(vm, syscall.SIGTERM)
+	case 2:
+		s.processes[vm].signal(syscall.SIGSTOP)
+		group.Sleep(context.Background(), time.Duration(200+s.random.IntN(3000))*time.Millisecond)
+		s.processes[vm].signal(syscall.SIGCONT)
+	case 3:
+		s.processes[vm].signal(syscall.SIGHUP)
+	case 4:
+		s.store.Faults.Set(fault.Faults{Down: s.random.IntN(2) == 0, DropAnswers: s.random.IntN(4)})
+	case 5:
+		s.store.Faults.Set(fault.Faults{})
+	case 6:
+		s.runners[runner].BreakAfter(s.random.IntN(4))
+	case 7:
+		s.runners[runner].Fail(s.random.IntN(3))
+	default:
+		s.version++
+		s.configure(s.version, 10_000, plainRoute(fmt.Sprint("v", s.version)))
+	}
+}
+
+func (s *soak) restart(vm string, signal syscall.Signal) {
+	old := s.processes[vm]
+	old.signal(signal)
+	// The exit code of a process that was killed is no finding.
+	_ = old.command.Wait()
+	s.checkRaces(vm)
+	s.start(vm, "gateway", "--settings", s.gateways[vm].settings)
+}
+
+func (s *soak) heal(vms []string) {
+	s.store.Faults.Set(fault.Faults{})
+	for _, runner := range s.runners {
+		runner.BreakAfter(-1)
+		runner.Fail(0)
+	}
+	for _, vm := range vms {
+		s.processes[vm].signal(syscall.SIGCONT)
+		s.waitReady(vm)
+	}
+}
+
+// call sends requests over kept connections until the context ends.
+func (s *soak) call(ctx context.Context, vm string, random *rand.Rand) {
+	paths := []struct{ path, model string }{
+		{modelPath, "large"}, {resumePath, "small"}, {modelPath, "small/a1"}, {unsafePath, ""}, {safePath, ""},
+	}
+	for ctx.Err() == nil {
+		p := paths[random.IntN(len(paths))]
+		request := newRequest(context.Background(), s.gateways[vm], p.path, p.model, []byte("{}"))
+		attempt := request.Header.Get(caller.AttemptHeader)
+		response, err := testClient.Do(request)
+		if err == nil {
+			s.judge(attempt, p.model, response)
+		}
+		group.Sleep(ctx, time.Duration(5+random.IntN(30))*time.Millisecond)
+	}
+}
+
+// judge notes what a caller saw.
+func (s *soak) judge(attempt, model string, response *http.Response) {
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	r := reply{status: response.StatusCode, body: string(body), seal: caller.Seal(response), err: err}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case r.status == 503 || r.status == 429:
+		s.refused[attempt] = true
+	case r.status != 200 || err != nil:
+	case r.seal == "":
+		s.broken = append(s.broken, attempt+" was answered without a runner's signature")
+	case model != "" && r.events() != "1 2 3 4 5":
+		s.broken = append(s.broken, attempt+" got the events "+r.events())
+	default:
+		s.served++
+	}
+}
+
+// check compares what callers saw with what runners did.
+func (s *soak) check() {
+	assert.Check(s.t, len(s.broken) == 0, strings.Join(s.broken, "\n"))
+	assert.Check(s.t, s.served > 100, "%d served", s.served)
+	runs := make(map[string]int)
+	for _, runner := range s.runners {
+		assert.Check(s.t, !runner.Overfull())
+		s.checkOrders(runner.Orders())
+		for _, run := range runner.Runs() {
+			assert.Check(s.t, !s.refused[run.Attempt], "%s was refused and ran", run.Attempt)
+			if run.Path == unsafePath || run.Path == modelPath {
+				runs[run.Attempt]++
+			}
+		}
+	}
+	for attempt, count := range runs {
+		assert.Check(s.t, count == 1, "%s ran %d times", attempt, count)
+	}
+}
+
+// checkOrders checks that two VMs never order one runner within the pause, and that fencing numbers rise.
+func (s *soak) checkOrders(orders []modelrunner.Ordered) {
+	for i := 1; i < len(orders); i++ {
+		before, order := orders[i-1], orders[i]
+		assert.Check(s.t, order.Fence >= before.Fence, "number %d after %d", order.Fence, before.Fence)
+		if order.Holder != before.Holder {
+			pause := order.At.Sub(before.At)
+			assert.Check(s.t, pause >= 3*time.Second, "%s ordered %v after %s", order.Holder, pause, before.Holder)
+		}
+	}
+}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -16,6 +16,9 @@
 	ConfigurationKey = "op/config"
 	RunnerKeys       = "servers/"
 
+	// AttemptHeader names the attempt of a request.
+	AttemptHeader = "X-Zinniaroute-Attempt-Id"
+
 	headerSeal = "X-Zinniaroute-Response-Seal"
 )
 
@@ -42,7 +45,7 @@
 		return nil, err
 	}
 	request.Host = r.Host
-	request.Header.Set("X-Zinniaroute-Attempt-Id", r.Attempt)
+	request.Header.Set(AttemptHeader, r.Attempt)
 	request.Header.Set("X-Zinniaroute-Deadline-Ms", "8000")
 	if r.Model != "" {
 		request.Header.Set("X-Zinniaroute-Model", r.Model)
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -65,6 +65,13 @@
 	Cancelled bool
 }
 
+// Ordered is an order that a runner took.
+type Ordered struct {
+	Holder string
+	Fence  uint64
+	At     time.Time
+}
+
 // Runner is one endpoint.
 type Runner struct {
 	options Options
@@ -75,8 +82,7 @@
 	models   []Model
 	busy     bool
 	sequence uint64
-	orders   []string
-	fences   []uint64
+	orders   []Ordered
 	runs     []Run
 	overfull bool
 	// breakAfter cuts the next stream after a number of events; negative means never.
@@ -175,11 +181,11 @@
 	return slices.Clone(r.runs)
 }
 
-// Orders returns the orders that the runner accepted, and their fencing numbers.
-func (r *Runner) Orders() ([]string, []uint64) {
+// Orders returns the orders that reached the runner when it was not busy, in their order.
+func (r *Runner) Orders() []Ordered {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Clone(r.orders), slices.Clone(r.fences)
+	return slices.Clone(r.orders)
 }
 
 // Overfull reports whether the runner was ever ordered to hold more than it can.
@@ -233,7 +239,7 @@
 		c.SetStatusCode(statusBusy)
 		return
 	}
-	r.fences = append(r.fences, o.Fence)
+	r.orders = append(r.orders, Ordered{Holder: o.Holder, Fence: o.Fence, At: time.Now()})
 	c.SetStatusCode(r.carryOut(o))
 }
 
@@ -249,7 +255,6 @@
 		return statusMisdirected
 	}
 	r.sequence++
-	r.orders = append(r.orders, o.Operation+" "+strings.TrimSuffix(o.Model+"/"+o.Adapter, "/"))
 	switch {
 	case o.Adapter == "":
 		r.busy = true
