--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -20,7 +20,6 @@
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
-	"github.com/zinniaroute/zinniaroute/state/orders"
 	"github.com/zinniaroute/zinniaroute/state/quarantine"
 	"github.com/zinniaroute/zinniaroute/state/routes"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
@@ -82,18 +81,7 @@
 	meters   map[string]*allocation.Meter
 	uses     map[gathering.Place]time.Time
 	gathered *gathering.Table
-	// moves are planned and not yet handed to the owners of their runners; moved is when they were planned.
-	moves map[string]orders.Move
-	moved map[string]time.Time
-	// targets are the models that the planned moves load.
-	targets map[string]string
-	// held is since when runners hold their models, as the plan has seen it.
-	held map[string]map[string]time.Time
-	// absent is since when no runner of a service holds a model.
-	absent    map[string]map[string]time.Time
-	planned   time.Time
-	planTold  time.Time
-	gathering time.Time
+	plans    planState
 	// heard is when the store last told that the directory is complete.
 	heard time.Time
 
@@ -138,11 +126,7 @@
 		meters:     make(map[string]*allocation.Meter),
 		uses:       make(map[gathering.Place]time.Time),
 		gathered:   gathering.NewTable(),
-		moves:      make(map[string]orders.Move),
-		moved:      make(map[string]time.Time),
-		targets:    make(map[string]string),
-		held:       make(map[string]map[string]time.Time),
-		absent:     make(map[string]map[string]time.Time),
+		plans:      newPlanState(),
 	}
 	g.limits.Store(&s.Bounds)
 	return g
--- a/transport/gateway/gather.go
+++ b/transport/gateway/gather.go
@@ -21,8 +21,6 @@
 	exchangeTimeout = 400 * time.Millisecond
 	// silentTime is how long a VM that did not answer is passed over.
 	silentTime = 3 * time.Second
-	// planInterval is how often the gathering VM plans.
-	planInterval = 250 * time.Millisecond
 	// suspicionAge is the age up to which the gathering VM hands on suspicions: some exchanges.
 	suspicionAge = 3 * time.Second
 	// viewAge is the age up to which a VM hands on what the store says.
@@ -160,9 +158,9 @@
 		s.Uses = append(s.Uses, vm.Use{Runner: place.Runner, Unit: place.Unit, Age: now.Sub(at)})
 	}
 	for id := range mine {
-		if move, ok := g.moves[id]; ok {
+		if move, ok := g.plans.moves[id]; ok {
 			s.Moves[id] = move
-			delete(g.moves, id)
+			delete(g.plans.moves, id)
 		}
 	}
 	return s
@@ -201,96 +199,6 @@
 	}
 }
 
-// plan decides on moves of models; only the VM that gathers plans.
-func (g *Gateway) plan(now time.Time) {
-	table := g.table.Load()
-	if table == nil {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if now.Sub(g.planned) < planInterval || now.Sub(g.gathering) < gatherFirst {
-		if g.gathering.IsZero() {
-			g.gathering = now
-		}
-		return
-	}
-	g.planned = now
-	known := g.gathered.Owned(now)
-	for name, service := range table.Services {
-		if service.Engine == nil {
-			continue
-		}
-		runners := g.planRunners(now, name, known)
-		demand := g.gathered.Demand(now, name)
-		if now.Sub(g.planTold) >= planTell {
-			g.planTold = now
-			g.log.Emit(eventlog.PlanState, name, allocation.Describe(runners, demand))
-		}
-		g.absent[name] = allocation.Absent(now, service.Engine, runners, g.absent[name])
-		for _, a := range allocation.Plan(now, service.Engine, runners, demand, g.absent[name]) {
-			g.moves[a.Runner] = a.Move
-			g.moved[a.Runner] = now
-			g.targets[a.Runner] = a.Move.Load
-			g.log.Emit(eventlog.MovePlanned, a.Runner, a.Move.Load, a.Move.Unload, demand[a.Move.Load])
-		}
-	}
-}
-
-const (
-	// gatherFirst is the time for which a VM gathers before it plans.
-	gatherFirst = time.Second
-	// planTell is how often the demand for models and their copies are logged.
-	planTell = 2 * time.Second
-	// moveTime is the time in which a planned move shows in what its runner's owner tells.
-	moveTime = 1500 * time.Millisecond
-)
-
-// planRunners returns the runners of a service as the plan sees them; the lock must be held.
-func (g *Gateway) planRunners(now time.Time, service string, known map[string]gathering.Owned) []*allocation.Runner {
-	var runners []*allocation.Runner
-	for _, r := range g.directory.OfService(service) {
-		owned, ok := known[r.ID]
-		holdings := r.Holdings
-		if ok && owned.Incarnation == r.Incarnation {
-			holdings = owned.Holdings
-		}
-		p := &allocation.Runner{
-			ID: r.ID, InMemory: r.InMemory, OnDisk: r.OnDisk, Gone: r.Leaving,
-			Fixed:  !ok,
-			Moving: owned.Moving || holdings.Busy || now.Sub(g.moved[r.ID]) < moveTime,
-		}
-		for _, held := range holdings.Models {
-			p.Models = append(p.Models, held.Model)
-		}
-		p.Target = owned.Target
-		if planned, ok := g.moves[r.ID]; ok || now.Sub(g.moved[r.ID]) < moveTime {
-			p.Target = planned.Load
-			if !ok {
-				p.Target = g.targets[r.ID]
-			}
-		}
-		g.noteHeld(now, r.ID, p.Models)
-		p.Since = g.held[r.ID]
-		runners = append(runners, p)
-	}
-	return runners
-}
-
-// noteHeld remembers since when a runner holds each model; the lock must be held.
-func (g *Gateway) noteHeld(now time.Time, runner string, models []string) {
-	before := g.held[runner]
-	since := make(map[string]time.Time, len(models))
-	for _, model := range models {
-		at, ok := before[model]
-		if !ok && before != nil {
-			at = now
-		}
-		since[model] = at
-	}
-	g.held[runner] = since
-}
-
 // use notes a request for a model or an adapter, for the plan and for the choice of what to evict.
 func (g *Gateway) use(now time.Time, service string, x *exchange) {
 	unit := x.request.Unit
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -291,12 +291,12 @@
 	g.loadPlaces[item.Key] = true
 }
 
-// owned reports whether this VM may order a runner now, with the fencing number; the lock must be held.
+// authority reports whether this VM may order a runner now, with the fencing number; the lock must be held.
 func (g *Gateway) authority(now time.Time, runner string) (uint64, bool) {
 	return g.owners.Authority(now, runner)
 }
 
-// service returns the service and the engine of a runner, or nil; the lock must be held.
+// engineOf returns the engine of a runner with the name of its service, or nil; the lock must be held.
 func (g *Gateway) engineOf(runner *fleet.Runner) *platformEngine {
 	table := g.table.Load()
 	if table == nil || runner == nil {
