Pass on no success that no runner signed

TestGatewayPassesOnNoSuccessWithoutASignature failed without the check (status 200 where 502 is due) and passes with it.

--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -110,6 +110,18 @@
 	}
 }
 
+func TestGatewayPassesOnNoSuccessWithoutASignature(t *testing.T) {
+	d := calmDeployment(t)
+	for _, id := range []string{"p1", "p2", "r1", "r2"} {
+		d.runners[id].Unsealed(1)
+	}
+	assert.Equal(t, d.ask("vm-1", unsafePath, "").status, 502)
+	assert.Equal(t, d.ask("vm-1", modelPath, "large").status, 502)
+	r := d.ask("vm-1", safePath, "")
+	assert.Equal(t, r.status, 200)
+	assert.Assert(t, r.seal != "")
+}
+
 func TestGatewayResumesABrokenStreamElsewhere(t *testing.T) {
 	d := calmDeployment(t)
 	for _, id := range []string{"r1", "r2"} {
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -91,6 +91,7 @@
 	leaving    bool
 	// poison is the body of requests that crash the runner, which is then down for crashTime.
 	poison    string
+	unsealed  int
 	downUntil time.Time
 }
 
@@ -167,6 +168,13 @@
 	return true
 }
 
+// Unsealed leaves the signature off the next answers.
+func (r *Runner) Unsealed(answers int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unsealed = answers
+}
+
 // Fail answers the next requests with failures of the runner's own.
 func (r *Runner) Fail(requests int) {
 	r.mu.Lock()
@@ -314,7 +322,11 @@
 		Attempt: string(c.GetHeader(headerAttempt)), Path: string(c.Request.Header.RequestURI()),
 		Body: string(c.Request.Body()), After: string(c.GetHeader(headerLast)),
 	})
-	c.Header(headerSeal, "seal-"+r.options.ID)
+	if r.unsealed > 0 {
+		r.unsealed--
+	} else {
+		c.Header(headerSeal, "seal-"+r.options.ID)
+	}
 	c.Header(headerAttempt, string(c.GetHeader(headerAttempt)))
 	if r.failures > 0 {
 		r.failures--
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -17,6 +17,7 @@
 
 const (
 	statusOK          = 200
+	statusRedirect    = 300
 	statusNotFound    = 404
 	statusFailed      = 502
 	statusUnavailable = 503
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -29,6 +29,9 @@
 	leftMargin = 5 * time.Millisecond
 )
 
+// errUnsealed tells of a success that no runner signed, which is not the runner's answer.
+var errUnsealed = errors.New("a success without the runner's signature")
+
 // exchange carries one request through its machine.
 type exchange struct {
 	gateway *Gateway
@@ -180,6 +183,10 @@
 	if verdict.NotRun {
 		return x.declined(ctx, verdict)
 	}
+	if status := header.StatusCode(); status >= statusOK && status < statusRedirect && !verdict.Sealed {
+		x.call.Abort()
+		return x.failedCall(ctx, errUnsealed)
+	}
 	if x.route.Kind == routes.Stream && header.StatusCode() == statusOK {
 		x.began()
 		return x.machine.Step(clock.Now(), lifecycle.Answered{})
