--- /dev/null
+++ b/coordination/lease/machine_test.go
@@ -0,0 +1,49 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/zinniaroute/zinniaroute/coordination/keyvalue"
+)
+
+// won returns a machine whose first write was sent at a time and confirmed after a delay.
+func won(t *testing.T, sent time.Time, delay time.Duration) *Machine {
+	t.Helper()
+	m := NewMachine(DefaultConfig("vm-1", "first"))
+	m.Step(sent, Tick{})
+	actions := m.Step(sent, Observed{RequestedAt: sent})
+	assert.Equal(t, len(actions), 1)
+	_, swap := actions[0].(Swap)
+	assert.Assert(t, swap, "%v", actions)
+	m.Step(sent.Add(delay), Swapped{Outcome: keyvalue.Applied})
+	return m
+}
+
+// The property test lets clocks drift by two parts in a hundred, which the margins of holder and candidates cover twice, so
+// that it does not notice when the holder's own is missing.
+func TestAHolderStopsAMarginBeforeItsLeaseEnds(t *testing.T) {
+	sent := time.Unix(1_000_000, 0)
+	config := DefaultConfig("vm-1", "first")
+	tests := []struct {
+		name  string
+		delay time.Duration
+		at    time.Duration
+		full  bool
+	}{
+		{"at once", 0, time.Millisecond, true},
+		{"just before the margin", 0, config.TTL - config.DriftMargin - time.Millisecond, true},
+		{"within the margin", 0, config.TTL - config.DriftMargin, false},
+		{"after the end", 0, config.TTL + config.DriftMargin/2, false},
+		{"counted from the sending, not the answer", time.Second, config.TTL - config.DriftMargin, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := won(t, sent, test.delay)
+			power, _ := m.Power(sent.Add(test.at))
+			assert.Equal(t, power == PowerFull, test.full, string(power))
+		})
+	}
+}
--- a/state/ledger/runner_test.go
+++ b/state/ledger/runner_test.go
@@ -56,3 +56,18 @@
 		})
 	}
 }
+
+// The property test's runners carry out late orders while an earlier holder's intents are on record; it never has a new
+// holder whose only knowledge of such an order is the record.
+func TestANewHolderCountsTheIntentsOfEarlierOnes(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	r := NewRunner(Config{Name: "r", Accelerators: 1, MemoryMiB: 100})
+	r.Step(now, AuthorityChanged{Authority{Term: 2, Full: true}})
+	r.Step(now, IntentsFound{Items: []Item{{Name: "a", Kind: ItemBase, MemoryMiB: 60, Accelerators: []int{0}}}})
+	r.Step(now, Contents{Incarnation: "1", RequestedAt: now})
+	assert.Equal(t, r.UsedMiB()[0], 60, "the earlier holder's order may still take effect")
+	for _, action := range r.Step(now, Desired{Wants: []Want{{Name: "b", Kind: ItemBase, MemoryMiB: 60}}}) {
+		_, sent := action.(SendOrder)
+		assert.Assert(t, !sent, "%v", action)
+	}
+}
--- a/state/lifecycle/machine_property_test.go
+++ b/state/lifecycle/machine_property_test.go
@@ -151,6 +151,16 @@
 	}
 }
 
+func TestTheBudgetForgetsRequestsWithoutNewOnes(t *testing.T) {
+	b := NewSharedBudget(BudgetBounds{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})
+	now := time.Unix(1_000_000, 0)
+	for range 1000 {
+		b.Arrived(now)
+	}
+	assert.Assert(t, b.Left(now) > 100)
+	assert.Assert(t, b.Left(now.Add(11*time.Second)) <= 10)
+}
+
 func since(times []time.Time, from time.Time) []time.Time {
 	var later []time.Time
 	for _, at := range times {
--- /dev/null
+++ b/transport/control/catalog_test.go
@@ -0,0 +1,27 @@
+package control
+
+import (
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/zinniaroute/zinniaroute/coordination/publication"
+	"github.com/zinniaroute/zinniaroute/eventlog"
+	"github.com/zinniaroute/zinniaroute/settings"
+)
+
+// The tests with real processes never hand a VM an older head: its sources have only newer ones.
+func TestAVMOnlyMovesForward(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	c := New(now, settings.Control{}, eventlog.New(io.Discard, logrus.InfoLevel, "p", "d"))
+	for _, step := range []struct{ offered, inForce uint64 }{{5, 5}, {3, 5}, {5, 5}, {6, 6}} {
+		head, err := json.Marshal(publication.Head{Revision: step.offered})
+		assert.NilError(t, err)
+		assert.NilError(t, c.install(now, head, nil, "test"))
+		assert.Equal(t, c.board.catalog.snapshot.Head.Revision, step.inForce)
+	}
+}
