--- a/state/orders/ledger.go
+++ b/state/orders/ledger.go
@@ -197,9 +197,6 @@
 // GrantCold notes that a place among the loads from the weight store was had.
 func (l *Ledger) GrantCold() { l.coldGrant = true }
 
-// DropMove gives the move up.
-func (l *Ledger) DropMove() { l.move = nil }
-
 func (l *Ledger) unloads() []string {
 	var present []string
 	for _, model := range l.move.Unload {
