Load models for steady demand before bursts

Cause: while a domain of 66 runners fills from nothing at 0.4 loads a second every load that may begin is taken, and the planner gave each to the largest unmet demand, which is that of a burst. A copy for a burst serves for what is left of three minutes; one for demand that lasts serves to the end.

--- a/state/placement/planner.go
+++ b/state/placement/planner.go
@@ -34,6 +34,8 @@
 type Load struct {
 	Name string
 	Busy float64
+	// Steady is the part of Busy that has lasted; zero where it is not known.
+	Steady float64
 }
 
 // Copies is the number of ready copies of a unit outside the failure domain.
@@ -322,8 +324,21 @@
 	}
 }
 
-// placeReplicas adds copies where demand is not met, the most unmet first, while each promises more than a move costs.
+// placeReplicas adds copies for steady demand before copies for bursts: while loads are few, those for demand that
+// lasts serve longer.
 func (d *draft) placeReplicas() {
+	busy := d.busy
+	d.busy = make(map[string]float64, len(busy))
+	for _, load := range d.in.Loads {
+		d.busy[load.Name] += load.Steady
+	}
+	d.placeForDemand()
+	d.busy = busy
+	d.placeForDemand()
+}
+
+// placeForDemand adds copies where demand is not met, the most unmet first, while each promises more than a move costs.
+func (d *draft) placeForDemand() {
 	d.balance()
 	exhausted := make(map[string]bool)
 	for {
