Drive model and service calls by the request machine

Cause: the OpenAI front and the plain-service front decided by themselves what to send again, beside the machine that the gateway uses. Their decisions kept only the last failure, so a request that was lost with one endpoint (or failed on it) and then refused by the rest was answered 503 "notRun" although it may have run; one rejected as wrong by the second endpoint said so too.

Ruled out: noting the loss beside the last failure (a second copy of what the machine knows). What was lost with an endpoint still draws nothing from these fronts' budget, which the machine now has as a limit of its own.

Before: TestCallersAreToldTheTruth fails in three of nine cases (real front, scripted endpoints); after: all nine pass. Fifteen integration tests of these fronts with real processes pass unchanged (80 s).

--- a/state/lifecycle/machine.go
+++ b/state/lifecycle/machine.go
@@ -20,6 +20,8 @@
 	Repeatable bool
 	// MaxRuns is the largest number of endpoints that may run the request.
 	MaxRuns int
+	// LossesFree tells that repeats after a loss draw nothing from the budget; only MaxRuns bounds them.
+	LossesFree bool
 }
 
 // Machine is the state of one request.
@@ -151,7 +153,7 @@
 
 // again sends a request that may have run to one more endpoint, if all bounds allow it.
 func (m *Machine) again(now time.Time) Action {
-	if !m.limits.Repeatable || m.runs >= m.limits.MaxRuns || !m.budget.Take(now) {
+	if !m.limits.Repeatable || m.runs >= m.limits.MaxRuns || !m.limits.LossesFree && !m.budget.Take(now) {
 		return m.giveUp()
 	}
 	return Choose
--- a/state/lifecycle/machine_property_test.go
+++ b/state/lifecycle/machine_property_test.go
@@ -27,6 +27,7 @@
 		limits := Limits{
 			Repeatable: rapid.Bool().Draw(t, "repeatable"),
 			MaxRuns:    rapid.IntRange(1, 3).Draw(t, "maxRuns"),
+			LossesFree: rapid.Bool().Draw(t, "lossesFree"),
 		}
 		budget := &purse{left: rapid.IntRange(0, 4).Draw(t, "budget")}
 		began := budget.left
@@ -85,6 +86,9 @@
 	if maybeRun > max(limits.MaxRuns, 1) {
 		t.Fatalf("ran %d times of %d", maybeRun, limits.MaxRuns)
 	}
+	if limits.LossesFree {
+		budget += limits.MaxRuns
+	}
 	if repeats > budget+maxUnreached {
 		t.Fatalf("%d repeats of %d", repeats, budget)
 	}
--- a/transport/entry/claimed.go
+++ b/transport/entry/claimed.go
@@ -11,7 +11,7 @@
 	"github.com/zinniaroute/zinniaroute/protocol/caller"
 	"github.com/zinniaroute/zinniaroute/protocol/openai"
 	"github.com/zinniaroute/zinniaroute/protocol/peer"
-	"github.com/zinniaroute/zinniaroute/transport/httpcall"
+	"github.com/zinniaroute/zinniaroute/state/lifecycle"
 	"github.com/zinniaroute/zinniaroute/transport/rpc"
 )
 
@@ -117,20 +117,18 @@
 	_, _ = callControl[peer.SettleRequest, peer.SettleResponse](ctx, s.entry, peer.CallSettle, request, claimLimit)
 }
 
-// relayRecorded delivers the answer of a claimed call once it is whole, and keeps it.
-func (s *serviceRun) relayRecorded(ctx context.Context, endpoint lent, call *httpcall.Exchange) verdict {
-	body, err := call.ReadAll(maxAnswerBytes)
+// record reads the whole answer of a claimed call and keeps it for repeats.
+func (s *serviceRun) record(ctx context.Context) lifecycle.Event {
+	body, err := s.call.ReadAll(maxAnswerBytes)
 	if err != nil {
-		return s.failedCall(ctx, endpoint, err)
+		return s.failedCall(ctx, err)
 	}
 	s.recorded = &claims.Answer{
-		HTTPStatus:  call.Response.StatusCode(),
-		ContentType: string(call.Response.Header.ContentType()),
+		HTTPStatus:  s.call.Response.StatusCode(),
+		ContentType: string(s.call.Response.Header.ContentType()),
 		Body:        body,
 	}
-	s.copyHeader(endpoint, call.Response)
-	s.exchange.rc.Response.SetBody(body)
-	return answered
+	return lifecycle.Answered{}
 }
 
 func (s *serviceRun) replay(answer *claims.Answer) *failure {
--- /dev/null
+++ b/transport/entry/drive_test.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/zinniaroute/zinniaroute/eventlog"
+	"github.com/zinniaroute/zinniaroute/protocol/caller"
+	"github.com/zinniaroute/zinniaroute/settings"
+	"github.com/zinniaroute/zinniaroute/state/catalog"
+	"github.com/zinniaroute/zinniaroute/state/residency"
+	"github.com/zinniaroute/zinniaroute/transport/group"
+)
+
+const (
+	refusal   = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+	badAnswer = "HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+	broken    = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+	goodStart = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n"
+)
+
+// script is what the endpoints of a test answer, in the order of the requests; empty answers reset the connection.
+type script struct{ answers chan string }
+
+func newScript(answers ...string) *script {
+	s := &script{answers: make(chan string, len(answers))}
+	for _, answer := range answers {
+		s.answers <- answer
+	}
+	return s
+}
+
+func (s *script) listen(t *testing.T, g *group.Group) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, listener.Close()) })
+	g.Run("endpoint", func(context.Context) {
+		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+			s.answer(t, conn)
+		}
+	})
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func (s *script) answer(t *testing.T, conn net.Conn) {
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, err = io.Copy(io.Discard, request.Body)
+	assert.Check(t, err)
+	answer := <-s.answers
+	if answer == "" {
+		assert.Check(t, conn.(*net.TCPConn).SetLinger(0))
+	} else {
+		_, err = io.WriteString(conn, strings.Replace(answer, "\r\n", "\r\nConnection: close\r\n", 1))
+		assert.Check(t, err)
+	}
+	assert.Check(t, conn.Close())
+}
+
+// startEntry serves a model and a plain service on endpoints that follow a script, and returns the callers' address.
+func startEntry(t *testing.T, s *script, endpoints int) string {
+	t.Helper()
+	g, err := group.New(context.Background())
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, g.Stop()) })
+	e := New(time.Now(), settings.DefaultEntry(), eventlog.New(io.Discard, logrus.InfoLevel, "entry", "a"))
+	set := &catalog.Set{
+		Models:   []catalog.Model{{Name: "crest", MemoryMiB: 100}},
+		Services: []catalog.Service{{Name: "ledger"}},
+		Routes:   []catalog.Route{{Name: "ledger", Service: "ledger"}},
+	}
+	var states []residency.RunnerState
+	for i := range endpoints {
+		name := fmt.Sprintf("r%d", i)
+		set.Runners = append(set.Runners,
+			catalog.Runner{Name: name, Domain: "a", Address: s.listen(t, g)},
+			catalog.Runner{Name: name + "-plain", Domain: "a", Address: s.listen(t, g), Service: "ledger"})
+		states = append(states,
+			residency.RunnerState{Runner: name, Reachable: true, Items: []residency.HeldItem{{Name: "crest", Ready: true}}},
+			residency.RunnerState{Runner: name + "-plain", Reachable: true})
+	}
+	assert.Check(t, e.table.install(catalog.NewIndex(set), 1))
+	e.table.observe(states)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	e.serveCallers(g, listener)
+	return "http://" + listener.Addr().String()
+}
+
+// What a caller is told is true of every endpoint that the request was sent to.
+func TestCallersAreToldTheTruth(t *testing.T) {
+	cases := []struct {
+		name    string
+		path    string
+		answers []string
+		status  int
+		outcome caller.Outcome
+	}{
+		{"refused by all", "/v1/completions", []string{refusal, refusal, refusal}, 503, caller.NotRun},
+		{"lost, then refused by the rest", "/v1/completions", []string{"", refusal, refusal}, 502, caller.Unknown},
+		{"lost, then rejected as wrong", "/v1/completions", []string{"", badAnswer}, 400, caller.Unknown},
+		{"rejected as wrong", "/v1/completions", []string{badAnswer}, 400, caller.NotRun},
+		{"failed, then refused by the rest", "/v1/completions", []string{broken, refusal, refusal}, 502, caller.Unknown},
+		{"failed, then answered", "/v1/completions", []string{broken, goodStart + "{}"}, 200, caller.Complete},
+		{"lost, then answered", "/v1/completions", []string{"", goodStart + "{}"}, 200, caller.Complete},
+		{"answered in part, then answered", "/v1/completions", []string{goodStart + "{", goodStart + "{}"}, 200, caller.Complete},
+		{"a write is lost", "/services/ledger/entries", []string{""}, 502, caller.Unknown},
+	}
+	for _, c := range cases {
+		address := startEntry(t, newScript(c.answers...), 3)
+		body := strings.NewReader(`{"model":"crest","prompt":"an owl"}`)
+		response, err := http.Post(address+c.path, "application/json", body)
+		assert.NilError(t, err, c.name)
+		assert.Check(t, response.StatusCode == c.status, "%s: status %d", c.name, response.StatusCode)
+		outcome := caller.Outcome(response.Header.Get(caller.HeaderOutcome))
+		assert.Check(t, outcome == c.outcome, "%s: outcome %s", c.name, outcome)
+		assert.NilError(t, response.Body.Close())
+	}
+}
--- a/transport/entry/failure.go
+++ b/transport/entry/failure.go
@@ -23,6 +23,7 @@
 	statusTooLarge         = 413
 	statusUnprocessable    = 422
 	statusTooMany          = 429
+	statusServerError      = 500
 	statusBadGateway       = 502
 	statusUnavailable      = 503
 	statusGatewayTimeout   = 504
--- a/transport/entry/model.go
+++ b/transport/entry/model.go
@@ -43,7 +43,7 @@
 	ctx, cancel := context.WithTimeout(ctx, e.settings.RequestLimit.Duration)
 	defer cancel()
 	e.demand.begin(x.began, request.names...)
-	run := &modelRun{entry: e, exchange: x, request: request, print: request.fingerprint()}
+	run := e.newModelRun(x, request)
 	failed = run.serve(ctx)
 	e.demand.end(time.Now(), failed != nil && failed.outcome == caller.NotRun, request.names...)
 	if failed != nil && run.relay != nil {
--- a/transport/entry/run.go
+++ b/transport/entry/run.go
@@ -10,6 +10,7 @@
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/protocol/caller"
 	"github.com/zinniaroute/zinniaroute/protocol/openai"
+	"github.com/zinniaroute/zinniaroute/state/lifecycle"
 	"github.com/zinniaroute/zinniaroute/state/quarantine"
 	"github.com/zinniaroute/zinniaroute/transport/group"
 	"github.com/zinniaroute/zinniaroute/transport/httpcall"
@@ -22,75 +23,75 @@
 	entry    *Entry
 	exchange *exchange
 	request  *modelRequest
-	tried    []string
+	machine  *lifecycle.Machine
 	print    quarantine.Fingerprint
-	sent     time.Time
+	endpoint lent
+	call     *httpcall.Exchange
+	// cancel ends the present attempt.
+	cancel context.CancelFunc
+	sent   time.Time
 	// proved tells that the present endpoint has delivered some tokens.
 	proved bool
 	relay  *relay
-	last   *failure
+	// body is a whole answer, and reply the endpoint's own refusal, which is passed on.
+	body  []byte
+	reply *failure
+	last  *failure
 }
 
-// verdict is what an attempt on one endpoint came to.
-type verdict int
-
-const (
-	// answered attempts have delivered the final answer.
-	answered verdict = iota + 1
-	// refused attempts were turned away by the endpoint without being run.
-	refused
-	// lost attempts were sent, and no answer came.
-	lost
-	// unreached attempts did not get a connection to the endpoint.
-	unreached
-	// abandoned attempts end the request.
-	abandoned
-)
+func (e *Entry) newModelRun(x *exchange, request *modelRequest) *modelRun {
+	// What was lost with its endpoint is bounded by what ran there, so losses draw nothing from the budget.
+	limits := lifecycle.Limits{Repeatable: true, MaxRuns: maxAttempts, LossesFree: true}
+	return &modelRun{
+		entry: e, exchange: x, request: request, print: request.fingerprint(), machine: lifecycle.New(limits, e.budget),
+	}
+}
 
 func (m *modelRun) serve(ctx context.Context) *failure {
-	m.entry.earn(time.Now())
-	var result verdict
-	for sends := 0; sends < maxAttempts; {
-		now := time.Now()
-		// What was lost with its endpoint is bounded by what ran there, so only refusals draw on the budget.
-		if result == refused && !m.entry.spend(now) {
-			return m.last
-		}
-		group.Sleep(ctx, m.entry.table.caution(now, m.print))
-		now = time.Now()
-		if failed := m.entry.table.refusal(now, m.print); failed != nil {
-			return failed
-		}
-		endpoint, ok := m.choose(ctx, now)
-		if !ok {
-			return m.noEndpoint()
-		}
-		if failed := m.tooLate(endpoint, now); failed != nil {
-			m.entry.table.finish(now, endpoint.name, false)
-			return failed
-		}
-		m.tried = append(m.tried, endpoint.name)
-		result = m.attempt(ctx, endpoint)
-		if result != unreached {
-			sends++
-		}
-		m.entry.table.finish(time.Now(), endpoint.name, result == lost || result == unreached)
-		m.judge(ctx, endpoint, result)
-		switch result {
-		case answered:
-			return nil
-		case abandoned:
-			return m.last
-		case refused, lost, unreached:
+	m.entry.budget.earn(time.Now())
+	action := drive(ctx, m.machine, m)
+	if action == lifecycle.End {
+		return m.reply
+	}
+	return conclude(action, m.last)
+}
+
+// choose picks an endpoint, or refuses a request that is quarantined, too late, or that no endpoint serves.
+func (m *modelRun) choose(ctx context.Context) lifecycle.Event {
+	table := m.entry.table
+	group.Sleep(ctx, table.caution(time.Now(), m.print))
+	now := time.Now()
+	if failed := table.refusal(now, m.print); failed != nil {
+		return m.none(failed)
+	}
+	endpoint, ok := m.await(ctx, now)
+	if ctx.Err() != nil {
+		if ok {
+			table.finish(time.Now(), endpoint.name, false)
 		}
+		m.last = expired(ctx, m.machine.MayHaveRun())
+		return lifecycle.Expired{}
+	}
+	if !ok {
+		return m.none(m.noEndpoint())
 	}
-	return m.last
+	if failed := m.tooLate(endpoint, now); failed != nil {
+		table.finish(now, endpoint.name, false)
+		return m.none(failed)
+	}
+	m.endpoint = endpoint
+	return lifecycle.Chosen{Endpoint: endpoint.name}
+}
+
+func (m *modelRun) none(f *failure) lifecycle.Event {
+	m.last = f
+	return lifecycle.NoneFree{Reason: f.message, RetryAfter: f.retryAfter}
 }
 
-// choose waits, when the request is under suspicion, for an endpoint that runs no other suspect.
-func (m *modelRun) choose(ctx context.Context, now time.Time) (lent, bool) {
+// await waits, when the request is under suspicion, for an endpoint that runs no other suspect.
+func (m *modelRun) await(ctx context.Context, now time.Time) (lent, bool) {
 	for {
-		w := wish{target: m.request.target, tried: m.tried, fingerprint: m.print}
+		w := wish{target: m.request.target, tried: m.machine.Excluded(), fingerprint: m.print}
 		endpoint, occupied, ok := m.entry.table.choose(time.Now(), w)
 		if ok || !occupied || ctx.Err() != nil || time.Since(now) > suspectLimit {
 			return endpoint, ok
@@ -99,19 +100,31 @@
 	}
 }
 
-// judge notes what an attempt says of the request: whether it ran well, or an endpoint was lost under it.
-func (m *modelRun) judge(ctx context.Context, endpoint lent, result verdict) {
-	table := m.entry.table
+// ended notes what an attempt says of its endpoint and of the request: whether it ran well, or the endpoint was lost
+// under it.
+func (m *modelRun) ended(ctx context.Context, event lifecycle.Event) lifecycle.Event {
+	m.cancel()
+	table, now := m.entry.table, time.Now()
+	served, lost := false, false
+	switch e := event.(type) {
+	case lifecycle.Completed:
+		served = m.reply == nil && ctx.Err() == nil
+	case lifecycle.Answered:
+		lost = e.Failure
+	case lifecycle.Lost, lifecycle.Broken, lifecycle.Unreached:
+		lost = true
+	}
+	table.finish(now, m.endpoint.name, lost && ctx.Err() == nil)
 	switch {
-	case result == answered && ctx.Err() == nil:
-		table.finished(m.print, endpoint.name)
+	case served:
+		table.finished(m.print, m.endpoint.name)
 	case m.last != nil && m.last.lost && ctx.Err() == nil:
-		now := time.Now()
-		table.lostUnder(now, m.print, endpoint.name, !m.proved && now.Sub(m.sent) < earlyTime)
+		table.lostUnder(now, m.print, m.endpoint.name, !m.proved && now.Sub(m.sent) < earlyTime)
 		m.entry.suspected.Offer(struct{}{})
 	default:
-		table.proved(m.print, endpoint.name)
+		table.proved(m.print, m.endpoint.name)
 	}
+	return event
 }
 
 // tooLate refuses a request whose deadline its best endpoint cannot meet.
@@ -130,61 +143,88 @@
 	return overloaded(codeNotReady, "no endpoint holds "+m.request.parsed.Model+" yet", 2*time.Second)
 }
 
-// attempt sends the request to one endpoint.
-func (m *modelRun) attempt(ctx context.Context, endpoint lent) verdict {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	request := httpcall.NewRequest("POST", endpoint.address, m.request.path, m.request.body)
+// send sends the request to the chosen endpoint and reads the head of its answer, or the whole of it.
+func (m *modelRun) send(ctx context.Context) lifecycle.Event {
+	request := httpcall.NewRequest("POST", m.endpoint.address, m.request.path, m.request.body)
 	request.Header.Set(caller.HeaderRequestID, m.exchange.id)
-	sent := time.Now()
-	m.sent, m.proved = sent, false
-	call, err := m.entry.http.Start(ctx, endpoint.address, request, httpcall.Options{})
+	m.sent, m.proved, m.last, m.reply = time.Now(), false, nil, nil
+	attempt, cancel := context.WithCancel(ctx)
+	m.cancel = cancel
+	call, err := m.entry.http.Start(attempt, m.endpoint.address, request, httpcall.Options{})
 	if err != nil {
-		return m.failedCall(ctx, endpoint, err)
+		return m.ended(ctx, m.failedCall(ctx, err))
 	}
-	status := call.Response.StatusCode()
-	if status != statusOK {
-		return m.declined(endpoint, call, status)
+	m.call = call
+	if status := call.Response.StatusCode(); status != statusOK {
+		return m.ended(ctx, m.declined(status))
 	}
-	m.entry.table.firstByte(endpoint.name, time.Since(sent))
+	m.entry.table.firstByte(m.endpoint.name, time.Since(m.sent))
 	if m.request.parsed.Stream {
-		return m.stream(ctx, cancel, endpoint, call)
+		return lifecycle.Answered{}
+	}
+	body, err := call.ReadAll(maxAnswerBytes)
+	if err == nil && !json.Valid(body) {
+		err = errors.New("the answer is not valid JSON")
+	}
+	if err != nil {
+		return m.ended(ctx, m.failedCall(ctx, err))
+	}
+	m.body = body
+	return lifecycle.Answered{}
+}
+
+// pass delivers the arrived answer to the caller.
+func (m *modelRun) pass(ctx context.Context) lifecycle.Event {
+	switch {
+	case m.reply != nil:
+		return lifecycle.Completed{}
+	case m.request.parsed.Stream:
+		return m.ended(ctx, m.stream(ctx))
 	}
-	return m.whole(ctx, endpoint, call)
+	rc := m.exchange.rc
+	rc.Header(caller.HeaderOutcome, string(caller.Complete))
+	rc.Header(caller.HeaderRunner, m.endpoint.name)
+	rc.Data(statusOK, "application/json", m.body)
+	return m.ended(ctx, lifecycle.Completed{})
+}
+
+func (m *modelRun) failedCall(ctx context.Context, err error) lifecycle.Event {
+	sent := wasSent(err)
+	m.last = failedCall(ctx, m.endpoint.name, err)
+	m.last.lost = sent && ctx.Err() == nil
+	if !sent {
+		return lifecycle.Unreached{}
+	}
+	return lifecycle.Lost{}
 }
 
-func (m *modelRun) failedCall(ctx context.Context, endpoint lent, err error) verdict {
+func wasSent(err error) bool {
 	var call *httpcall.Error
-	sent := !errors.As(err, &call) || call.Sent()
+	return !errors.As(err, &call) || call.Sent()
+}
+
+// failedCall tells of a call that ended without an answer.
+func failedCall(ctx context.Context, endpoint string, err error) *failure {
+	sent := wasSent(err)
 	if ctx.Err() != nil {
-		m.last = m.expired(ctx, sent)
-		return abandoned
+		return expired(ctx, sent)
 	}
-	m.last = &failure{
+	f := &failure{
 		status:     statusBadGateway,
 		kind:       openai.TypeServer,
 		code:       codeLost,
-		message:    "endpoint " + endpoint.name + ": " + err.Error(),
+		message:    "endpoint " + endpoint + ": " + err.Error(),
 		outcome:    caller.Unknown,
 		retryAfter: retryShortly,
-		lost:       sent,
-	}
-	if !sent {
-		m.last.status = statusUnavailable
-		m.last.code = codeNoEndpoint
-		m.last.outcome = caller.NotRun
-	}
-	if m.relay != nil {
-		m.last.outcome = caller.Partial
 	}
 	if !sent {
-		return unreached
+		f.status, f.code, f.outcome = statusUnavailable, codeNoEndpoint, caller.NotRun
 	}
-	return lost
+	return f
 }
 
 // expired tells of a request whose time is over or whose caller is gone.
-func (m *modelRun) expired(ctx context.Context, sent bool) *failure {
+func expired(ctx context.Context, sent bool) *failure {
 	f := &failure{
 		status:     statusGatewayTimeout,
 		kind:       openai.TypeTimeout,
@@ -200,8 +240,9 @@
 }
 
 // declined handles an answer of the endpoint that is not a completion.
-func (m *modelRun) declined(endpoint lent, call *httpcall.Exchange, status int) verdict {
-	body, err := call.ReadAll(maxAnswerBytes)
+func (m *modelRun) declined(status int) lifecycle.Event {
+	name := m.endpoint.name
+	body, err := m.call.ReadAll(maxAnswerBytes)
 	if err != nil {
 		body = nil
 	}
@@ -211,22 +252,23 @@
 	case status == statusNotFound, status == statusTooMany, status == statusUnavailable:
 		leaving := answer.Error.Code == openai.CodeLeaving
 		if status != statusTooMany {
-			m.entry.table.refused(endpoint.name, m.request.target, leaving)
+			m.entry.table.refused(name, m.request.target, leaving)
 		}
-		m.last = overloaded(openai.CodeOverloaded, "endpoint "+endpoint.name+": "+answer.Error.Message, retryShortly)
-		return refused
-	case status >= statusBadGateway || status == 500:
+		m.last = overloaded(openai.CodeOverloaded, "endpoint "+name+": "+answer.Error.Message, retryShortly)
+		return lifecycle.Declined{}
+	case status >= statusServerError:
 		m.last = &failure{
 			status:     statusBadGateway,
 			kind:       openai.TypeServer,
 			code:       codeBroken,
-			message:    "endpoint " + endpoint.name + " failed: " + answer.Error.Message,
+			message:    "endpoint " + name + " failed: " + answer.Error.Message,
 			outcome:    caller.Unknown,
 			retryAfter: retryShortly,
 		}
-		return lost
+		m.reply = m.last
+		return lifecycle.Answered{Failure: true}
 	default:
-		m.last = &failure{
+		m.reply = &failure{
 			status:  status,
 			kind:    answer.Error.Type,
 			code:    answer.Error.Code,
@@ -234,40 +276,11 @@
 			param:   answer.Error.Param,
 			outcome: caller.NotRun,
 		}
-		return abandoned
-	}
-}
-
-// whole delivers an answer that is not streamed, once it has arrived to its end.
-func (m *modelRun) whole(ctx context.Context, endpoint lent, call *httpcall.Exchange) verdict {
-	body, err := call.ReadAll(maxAnswerBytes)
-	if err == nil && !json.Valid(body) {
-		err = errors.New("the answer is not valid JSON")
-	}
-	if err != nil {
-		return m.failedCall(ctx, endpoint, err)
-	}
-	rc := m.exchange.rc
-	rc.Header(caller.HeaderOutcome, string(caller.Complete))
-	rc.Header(caller.HeaderRunner, endpoint.name)
-	rc.Data(statusOK, "application/json", body)
-	return answered
-}
-
-func (e *Entry) earn(now time.Time) {
-	e.budgetMu.Lock()
-	defer e.budgetMu.Unlock()
-	e.budget.Earn(now)
-}
-
-func (e *Entry) spend(now time.Time) bool {
-	e.budgetMu.Lock()
-	defer e.budgetMu.Unlock()
-	if !e.budget.Spend(now) {
-		return false
+		if m.machine.MayHaveRun() {
+			m.reply.outcome = caller.Unknown
+		}
+		return lifecycle.Answered{}
 	}
-	retriesTotal.Add(1)
-	return true
 }
 
 func (m *modelRun) noteResumed(from, to string, tokens int) {
--- a/transport/entry/service.go
+++ b/transport/entry/service.go
@@ -11,9 +11,11 @@
 	"github.com/pkg/errors"
 
 	"github.com/zinniaroute/zinniaroute/coordination/claims"
+	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/protocol/caller"
 	"github.com/zinniaroute/zinniaroute/protocol/openai"
 	"github.com/zinniaroute/zinniaroute/state/catalog"
+	"github.com/zinniaroute/zinniaroute/state/lifecycle"
 	"github.com/zinniaroute/zinniaroute/transport/httpcall"
 	"github.com/zinniaroute/zinniaroute/transport/httpserve"
 )
@@ -36,10 +38,13 @@
 	body   []byte
 	upload io.Reader
 	size   int
-	tried  []string
+
+	machine  *lifecycle.Machine
+	endpoint lent
+	call     *httpcall.Exchange
+	// cancel ends the present attempt.
+	cancel context.CancelFunc
 	last   *failure
-	// begun tells that the answer's header has been passed on.
-	begun bool
 	// recorded is the answer of a claimed call, kept for its repeats.
 	recorded *claims.Answer
 }
@@ -117,48 +122,59 @@
 }
 
 func (s *serviceRun) serve(ctx context.Context) *failure {
-	s.entry.earn(time.Now())
-	for attempt := range maxAttempts {
-		now := time.Now()
-		if attempt > 0 && !s.entry.spend(now) {
-			return s.last
-		}
-		endpoint, _, ok := s.entry.table.choose(now, wish{target: s.target, tried: s.tried})
-		if !ok {
-			return s.noEndpoint()
-		}
-		s.tried = append(s.tried, endpoint.name)
-		result := s.attempt(ctx, endpoint)
-		s.entry.table.finish(time.Now(), endpoint.name, result == lost)
-		if result == answered {
-			return nil
-		}
-		if result == abandoned || s.upload != nil {
-			return s.last
-		}
+	s.entry.budget.earn(time.Now())
+	limits := lifecycle.Limits{Repeatable: s.idempotent && s.upload == nil, MaxRuns: maxAttempts}
+	s.machine = lifecycle.New(limits, s.entry.budget)
+	action := drive(ctx, s.machine, s)
+	failed := conclude(action, s.last)
+	if action == lifecycle.Cut {
+		s.cut(failed)
+		return nil
 	}
-	return s.last
+	return failed
 }
 
-func (s *serviceRun) noEndpoint() *failure {
-	if s.last != nil {
-		return s.last
+func (s *serviceRun) choose(ctx context.Context) lifecycle.Event {
+	if ctx.Err() != nil {
+		s.last = expired(ctx, s.machine.MayHaveRun())
+		return lifecycle.Expired{}
 	}
-	return overloaded(codeNoEndpoint, "no endpoint of service "+s.target.Service+" is in reach", retryShortly)
+	tried := s.machine.Excluded()
+	if s.upload != nil && len(tried) > 0 {
+		return lifecycle.NoneFree{Reason: "a streamed body is sent once", RetryAfter: retryShortly}
+	}
+	endpoint, _, ok := s.entry.table.choose(time.Now(), wish{target: s.target, tried: tried})
+	if !ok {
+		if s.last == nil {
+			s.last = overloaded(codeNoEndpoint, "no endpoint of service "+s.target.Service+" is in reach", retryShortly)
+		}
+		return lifecycle.NoneFree{Reason: s.last.message, RetryAfter: s.last.retryAfter}
+	}
+	s.endpoint = endpoint
+	return lifecycle.Chosen{Endpoint: endpoint.name}
 }
 
-func (s *serviceRun) attempt(ctx context.Context, endpoint lent) verdict {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	request := s.newRequest(endpoint)
-	options := httpcall.Options{Fresh: !s.idempotent}
+func (s *serviceRun) send(ctx context.Context) lifecycle.Event {
+	attempt, cancel := context.WithCancel(ctx)
+	s.cancel = cancel
 	sent := time.Now()
-	call, err := s.entry.http.Start(ctx, endpoint.address, request, options)
+	options := httpcall.Options{Fresh: !s.idempotent}
+	call, err := s.entry.http.Start(attempt, s.endpoint.address, s.newRequest(s.endpoint), options)
 	if err != nil {
-		return s.failedCall(ctx, endpoint, err)
+		return s.failedCall(ctx, err)
+	}
+	s.call = call
+	s.entry.table.firstByte(s.endpoint.name, time.Since(sent))
+	if s.headers.key != "" && !s.idempotent {
+		return s.record(ctx)
 	}
-	s.entry.table.firstByte(endpoint.name, time.Since(sent))
-	return s.relay(ctx, endpoint, call)
+	return lifecycle.Answered{}
+}
+
+// ended notes that the present attempt is over, and whether its endpoint failed it.
+func (s *serviceRun) ended(failed bool) {
+	s.cancel()
+	s.entry.table.finish(time.Now(), s.endpoint.name, failed)
 }
 
 func (s *serviceRun) newRequest(endpoint lent) *protocol.Request {
@@ -192,64 +208,58 @@
 	header.SetConnectionClose(false)
 }
 
-func (s *serviceRun) failedCall(ctx context.Context, endpoint lent, err error) verdict {
-	var call *httpcall.Error
-	sent := !errors.As(err, &call) || call.Sent()
-	s.last = &failure{
-		status:     statusBadGateway,
-		kind:       openai.TypeServer,
-		code:       codeLost,
-		message:    "endpoint " + endpoint.name + ": " + err.Error(),
-		outcome:    caller.Unknown,
-		retryAfter: retryShortly,
-	}
+func (s *serviceRun) failedCall(ctx context.Context, err error) lifecycle.Event {
+	s.last = failedCall(ctx, s.endpoint.name, err)
+	sent := wasSent(err)
+	s.ended(ctx.Err() == nil && (s.idempotent || !sent))
 	if !sent {
-		s.last.status = statusUnavailable
-		s.last.code = codeNoEndpoint
-		s.last.outcome = caller.NotRun
-	}
-	if ctx.Err() != nil {
-		s.last.status = statusGatewayTimeout
-		s.last.code = codeTimeout
-		return abandoned
-	}
-	if sent && !s.idempotent {
-		return abandoned
+		return lifecycle.Unreached{}
 	}
-	return lost
+	return lifecycle.Lost{}
 }
 
-// relay passes the endpoint's answer on; once it has begun, a break closes the caller's connection.
-func (s *serviceRun) relay(ctx context.Context, endpoint lent, call *httpcall.Exchange) verdict {
-	if s.headers.key != "" && !s.idempotent {
-		return s.relayRecorded(ctx, endpoint, call)
-	}
+// pass relays the endpoint's answer; once it has begun, a break closes the caller's connection.
+func (s *serviceRun) pass(context.Context) lifecycle.Event {
 	c := s.exchange.rc
-	s.copyHeader(endpoint, call.Response)
-	if bodyless(&c.Request, call.Response.StatusCode()) {
-		call.Done()
-		return answered
+	s.copyHeader(s.endpoint, s.call.Response)
+	if s.recorded != nil {
+		c.Response.SetBody(s.recorded.Body)
+		s.ended(false)
+		return lifecycle.Completed{}
 	}
-	copyTrailers(call.Response, &c.Response)
+	defer s.ended(false)
+	if bodyless(&c.Request, s.call.Response.StatusCode()) {
+		s.call.Done()
+		return lifecycle.Completed{}
+	}
+	copyTrailers(s.call.Response, &c.Response)
 	writer := resp.NewChunkedBodyWriter(&c.Response, c.GetWriter())
 	c.Response.HijackWriter(writer)
-	s.begun = true
+	return s.relay(writer)
+}
+
+func (s *serviceRun) relay(writer chunkWriter) lifecycle.Event {
 	buffer := make([]byte, relayBuffer)
 	for {
-		n, err := call.Body().Read(buffer)
-		if n > 0 && !s.pass(writer, buffer[:n]) {
-			call.Abort()
-			return answered
+		n, err := s.call.Body().Read(buffer)
+		if n > 0 && !s.write(writer, buffer[:n]) {
+			s.call.Abort()
+			return lifecycle.CallerLeft{}
 		}
 		if errors.Is(err, io.EOF) {
-			copyTrailers(call.Response, &c.Response)
-			call.Done()
-			return answered
+			copyTrailers(s.call.Response, &s.exchange.rc.Response)
+			s.call.Done()
+			return lifecycle.Completed{}
 		}
 		if err != nil {
-			call.Abort()
-			s.cut(endpoint, err)
-			return answered
+			s.call.Abort()
+			s.last = &failure{
+				status:  statusBadGateway,
+				code:    codeBroken,
+				message: "endpoint " + s.endpoint.name + ": " + err.Error(),
+				outcome: caller.Partial,
+			}
+			return lifecycle.Broken{}
 		}
 	}
 }
@@ -265,7 +275,7 @@
 	Flush() error
 }
 
-func (s *serviceRun) pass(writer chunkWriter, data []byte) bool {
+func (s *serviceRun) write(writer chunkWriter, data []byte) bool {
 	_ = s.exchange.rc.GetConn().SetWriteTimeout(writeTimeout)
 	if _, err := writer.Write(data); err != nil {
 		return false
@@ -274,14 +284,11 @@
 }
 
 // cut closes the caller's connection before the answer's end, so that the caller cannot take it for whole.
-func (s *serviceRun) cut(endpoint lent, cause error) {
-	s.entry.noteFailure(s.exchange, &failure{
-		status:  statusBadGateway,
-		code:    codeBroken,
-		message: "endpoint " + endpoint.name + ": " + cause.Error(),
-		outcome: caller.Partial,
-	})
-	_ = s.exchange.rc.GetConn().Close()
+func (s *serviceRun) cut(f *failure) {
+	s.entry.noteFailure(s.exchange, f)
+	if err := s.exchange.rc.GetConn().Close(); err != nil {
+		s.entry.log.Emit(eventlog.RequestFailed, s.exchange.id, s.path, "closing the caller's connection", f.status, err)
+	}
 }
 
 func (s *serviceRun) copyHeader(endpoint lent, from *protocol.Response) {
--- a/transport/entry/stream.go
+++ b/transport/entry/stream.go
@@ -14,6 +14,7 @@
 
 	"github.com/zinniaroute/zinniaroute/protocol/caller"
 	"github.com/zinniaroute/zinniaroute/protocol/openai"
+	"github.com/zinniaroute/zinniaroute/state/lifecycle"
 	"github.com/zinniaroute/zinniaroute/transport/httpcall"
 )
 
@@ -42,27 +43,31 @@
 	errNoEnd      = errors.New("the stream ended without its terminator")
 )
 
-// stream relays events until the terminator, and resumes elsewhere when they break off.
-func (m *modelRun) stream(ctx context.Context, cancel func(), endpoint lent, call *httpcall.Exchange) verdict {
-	reader, err := sse.NewReader(call.Response)
+// stream relays events until the terminator, and prepares the resumption elsewhere when they break off.
+func (m *modelRun) stream(ctx context.Context) lifecycle.Event {
+	reader, err := sse.NewReader(m.call.Response)
 	if err != nil {
-		call.Abort()
-		return m.failedCall(ctx, endpoint, &httpcall.Error{Stage: httpcall.StageBody, Cause: err})
+		m.call.Abort()
+		return m.broken(err)
 	}
 	reader.SetMaxBufferSize(maxEventBytes)
-	stall := time.AfterFunc(m.entry.settings.StallLimit.Duration, cancel)
+	stall := time.AfterFunc(m.entry.settings.StallLimit.Duration, m.cancel)
 	defer stall.Stop()
-	m.openRelay(endpoint)
-	err = m.relayEvents(reader, stall, endpoint)
+	m.openRelay()
+	err = m.relayEvents(reader, stall)
 	if err == nil {
-		drain(call)
-		return answered
+		drain(m.call)
+		return lifecycle.Completed{}
 	}
-	call.Abort()
+	m.call.Abort()
 	if errors.Is(err, errCallerGone) || m.endFinished() {
-		return answered
+		return lifecycle.Completed{}
+	}
+	if ctx.Err() != nil {
+		m.last = expired(ctx, true)
+		return lifecycle.Broken{}
 	}
-	return m.broken(endpoint, err)
+	return m.broken(err)
 }
 
 // endFinished ends a stream that lacks no more than its terminator, and reports whether it could.
@@ -72,7 +77,7 @@
 	if !m.relay.finished || usageDue || m.request.parsed.Choices > 1 {
 		return false
 	}
-	return m.send([]byte(openai.Done)) == nil
+	return m.deliver([]byte(openai.Done)) == nil
 }
 
 // drain takes the rest of a body whose terminator has come, so that its connection can be used again.
@@ -84,7 +89,8 @@
 	call.Done()
 }
 
-func (m *modelRun) openRelay(endpoint lent) {
+func (m *modelRun) openRelay() {
+	endpoint := m.endpoint
 	if m.relay != nil {
 		m.noteResumed(m.relay.from, endpoint.name, m.relay.tokens)
 		m.relay.from = endpoint.name
@@ -96,7 +102,7 @@
 	m.relay = &relay{writer: sse.NewWriter(rc), from: endpoint.name, body: m.request.body}
 }
 
-func (m *modelRun) relayEvents(reader *sse.Reader, stall *time.Timer, endpoint lent) error {
+func (m *modelRun) relayEvents(reader *sse.Reader, stall *time.Timer) error {
 	began := m.relay.tokens
 	event := sse.NewEvent()
 	defer event.Release()
@@ -109,7 +115,7 @@
 		}
 		stall.Reset(m.entry.settings.StallLimit.Duration)
 		if string(event.Data) == openai.Done {
-			return m.send(event.Data)
+			return m.deliver(event.Data)
 		}
 		data, err := m.relay.take(event.Data)
 		if err != nil {
@@ -117,15 +123,15 @@
 		}
 		if m.relay.tokens == began+provedTokens {
 			m.proved = true
-			m.entry.table.proved(m.print, endpoint.name)
+			m.entry.table.proved(m.print, m.endpoint.name)
 		}
-		if err := m.send(data); err != nil {
+		if err := m.deliver(data); err != nil {
 			return err
 		}
 	}
 }
 
-func (m *modelRun) send(data []byte) error {
+func (m *modelRun) deliver(data []byte) error {
 	_ = m.exchange.rc.GetConn().SetWriteTimeout(writeTimeout)
 	if err := m.relay.writer.WriteEvent("", "", data); err != nil {
 		return errCallerGone
@@ -224,28 +230,28 @@
 }
 
 // broken prepares the resumption of a stream that broke off, or ends it with an explicit error.
-func (m *modelRun) broken(endpoint lent, cause error) verdict {
+func (m *modelRun) broken(cause error) lifecycle.Event {
 	m.last = &failure{
 		status:     statusBadGateway,
 		kind:       openai.TypeServer,
 		code:       codeBroken,
-		message:    "endpoint " + endpoint.name + ": " + cause.Error(),
-		outcome:    caller.Partial,
+		message:    "endpoint " + m.endpoint.name + ": " + cause.Error(),
+		outcome:    caller.Unknown,
 		retryAfter: retryShortly,
 		lost:       true,
 	}
 	if err := m.prepareResumption(); err != nil {
 		m.last.message += "; " + err.Error()
-		return abandoned
+		return lifecycle.Broken{}
 	}
-	return lost
+	return lifecycle.Broken{Resumable: true}
 }
 
 // prepareResumption makes the body that asks another endpoint to go on after the text that was delivered.
 // Source: vLLM documentation, "continue_final_message" of the chat completions API.
 func (m *modelRun) prepareResumption() error {
 	r := m.relay
-	if r.tokens == 0 {
+	if r == nil || r.tokens == 0 {
 		return nil
 	}
 	if r.finished {
