Let a place among the loads serve one load for 1.5 s

Taken apart, two faults showed. A VM that had a place kept it for its move without end, while the key in the store ends after the window and 1.5 s: a load that began later (the runner was busy, the process frozen) was counted in no place. And a runner that restarted while the order for its load was in doubt could begin a second load on the same place.

Ruled out: a longer life of the keys (places would stand empty after prompt loads).

Change: coordination/pacing counts and chooses places without calls; the ledger is told until when a place is good, and drops it when the runner restarts.

--- a/state/orders/ledger.go
+++ b/state/orders/ledger.go
@@ -50,8 +50,8 @@
 	needs map[fleet.Unit]time.Time
 	used  map[fleet.Unit]time.Time
 	move  *Move
-	// coldGrant tells that a place among the loads from the weight store has been had for the move.
-	coldGrant bool
+	// coldUntil is when the place among the loads from the weight store ends that was had for the move.
+	coldUntil time.Time
 }
 
 // New returns the ledger of a runner of which nothing is known yet.
@@ -125,6 +125,10 @@
 }
 
 func (l *Ledger) take(r fleet.Report) {
+	if r.Incarnation != l.incarnation {
+		// An order in doubt may have begun the load before the restart.
+		l.coldUntil = time.Time{}
+	}
 	l.known, l.incarnation, l.sequence = true, r.Incarnation, r.Sequence
 	l.holdings = clone(r.Holdings)
 	l.inMemory, l.onDisk = r.InMemory, r.OnDisk
@@ -180,12 +184,12 @@
 	if l.Moving() {
 		return
 	}
-	l.move, l.coldGrant = &m, false
+	l.move, l.coldUntil = &m, time.Time{}
 }
 
-// ColdLoad returns the model of the next order if it must come from the weight store and no place was had for it.
-func (l *Ledger) ColdLoad() string {
-	if !l.known || l.move == nil || l.coldGrant || len(l.unloads()) > 0 || l.Busy() || l.move.Load == "" {
+// ColdLoad returns the model of the next order if it must come from the weight store and has no place there now.
+func (l *Ledger) ColdLoad(now time.Time) string {
+	if !l.known || l.move == nil || now.Before(l.coldUntil) || len(l.unloads()) > 0 || l.Busy() || l.move.Load == "" {
 		return ""
 	}
 	if slices.Contains(l.inMemory, l.move.Load) || slices.Contains(l.onDisk, l.move.Load) {
@@ -194,8 +198,8 @@
 	return l.move.Load
 }
 
-// GrantCold notes that a place among the loads from the weight store was had.
-func (l *Ledger) GrantCold() { l.coldGrant = true }
+// GrantCold notes that a place among the loads from the weight store was had, and until when the load may begin.
+func (l *Ledger) GrantCold(until time.Time) { l.coldUntil = until }
 
 func (l *Ledger) unloads() []string {
 	var present []string
@@ -235,7 +239,7 @@
 	if !l.known || l.sent != nil || l.Busy() {
 		return fleet.Order{}, false
 	}
-	order, ok := l.nextMove()
+	order, ok := l.nextMove(now)
 	if !ok {
 		order, ok = l.nextAdapter(now)
 	}
@@ -276,7 +280,7 @@
 
 func (l *Ledger) places() int { return l.holdings.AdapterCount() + len(l.coming) }
 
-func (l *Ledger) nextMove() (fleet.Order, bool) {
+func (l *Ledger) nextMove(now time.Time) (fleet.Order, bool) {
 	if l.move == nil || len(l.coming) > 0 {
 		return fleet.Order{}, false
 	}
@@ -292,7 +296,7 @@
 		l.move = nil
 		return fleet.Order{}, false
 	}
-	if l.ColdLoad() != "" {
+	if l.ColdLoad(now) != "" {
 		return fleet.Order{}, false
 	}
 	return fleet.Order{Verb: fleet.Load, Unit: fleet.Unit{Model: l.move.Load}}, true
--- a/state/orders/ledger_property_test.go
+++ b/state/orders/ledger_property_test.go
@@ -164,7 +164,7 @@
 			default:
 				order, ok := l.Next(now, "vm", 1)
 				if !ok {
-					l.GrantCold()
+					l.GrantCold(now.Add(time.Minute))
 					continue
 				}
 				send(t, r, l, now, order)
@@ -222,7 +222,7 @@
 	l := New("r", engine)
 	l.Reported(r.report())
 	l.SetMove(Move{Load: "middle"})
-	l.GrantCold()
+	l.GrantCold(now.Add(time.Minute))
 	first, ok := l.Next(now, "vm", 1)
 	assert.Assert(t, ok)
 	l.Answered(now, fleet.OrderUnknown)
@@ -233,3 +233,38 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, first.Expected, second.Expected)
 }
+
+func TestALoadFromTheWeightStoreNeedsItsPlace(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	place := now.Add(1500 * time.Millisecond)
+	cases := []struct {
+		name  string
+		at    time.Time
+		doubt bool
+		begun int64
+		want  bool
+	}{
+		{"while the place is held", now.Add(time.Second), false, 0, true},
+		{"after the place has ended", place, false, 0, false},
+		{"an order in doubt that was not begun", now.Add(time.Second), true, 0, true},
+		{"an order in doubt, and the runner restarted", now.Add(time.Second), true, 1, false},
+	}
+	for _, c := range cases {
+		r := newRunner(nil)
+		l := New("r", engine)
+		l.Reported(r.report())
+		l.SetMove(Move{Load: "middle"})
+		assert.Equal(t, l.ColdLoad(now), "middle", c.name)
+		l.GrantCold(place)
+		if c.doubt {
+			_, ok := l.Next(now, "vm", 1)
+			assert.Assert(t, ok, c.name)
+			l.Answered(now, fleet.OrderUnknown)
+			report := r.report()
+			report.Incarnation += c.begun
+			l.Reported(report)
+		}
+		_, ok := l.Next(c.at, "vm", 1)
+		assert.Equal(t, ok, c.want, c.name)
+	}
+}
--- a/transport/gateway/follow.go
+++ b/transport/gateway/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/zinniaroute/zinniaroute/coordination/pacing"
 	"github.com/zinniaroute/zinniaroute/coordination/relay"
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/platform"
@@ -192,11 +193,7 @@
 			g.owners.Released(runner)
 		}
 	}
-	for key := range g.loadPlaces {
-		if !listed[key] {
-			delete(g.loadPlaces, key)
-		}
-	}
+	g.loadPlaces.KeepListed(listed)
 }
 
 // dropped forgets runners that are gone; the lock must be held.
@@ -237,8 +234,8 @@
 		g.noteMember(now, item)
 	case strings.HasPrefix(item.Key, ownersPrefix):
 		g.noteOwner(item)
-	case strings.HasPrefix(item.Key, loadsPrefix):
-		g.noteLoadPlace(item)
+	case strings.HasPrefix(item.Key, pacing.Prefix):
+		g.loadPlaces.Note(item.Key, !item.Deleted)
 	}
 }
 
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/zinniaroute/zinniaroute/coordination/gathering"
 	"github.com/zinniaroute/zinniaroute/coordination/ownership"
+	"github.com/zinniaroute/zinniaroute/coordination/pacing"
 	"github.com/zinniaroute/zinniaroute/coordination/relay"
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/platform"
@@ -75,7 +76,7 @@
 	suspects   *quarantine.Desk
 	owners     *ownership.Desk
 	ordered    map[string]*orderedRunner
-	loadPlaces map[string]bool
+	loadPlaces *pacing.Places
 	// orphans is since when runners that this VM owns have had no entry.
 	orphans  map[string]time.Time
 	meters   map[string]*allocation.Meter
@@ -121,7 +122,7 @@
 		suspects:   quarantine.NewDesk(),
 		entries:    make(map[string]fleet.Runner),
 		ordered:    make(map[string]*orderedRunner),
-		loadPlaces: make(map[string]bool),
+		loadPlaces: pacing.NewPlaces(),
 		orphans:    make(map[string]time.Time),
 		meters:     make(map[string]*allocation.Meter),
 		uses:       make(map[gathering.Place]time.Time),
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -4,13 +4,13 @@
 	"context"
 	"encoding/json"
 	"net/netip"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/zinniaroute/zinniaroute/coordination/ownership"
+	"github.com/zinniaroute/zinniaroute/coordination/pacing"
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/platform"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
@@ -22,7 +22,6 @@
 const (
 	membersPrefix = "vms/"
 	ownersPrefix  = "owners/"
-	loadsPrefix   = "loads/"
 )
 
 const (
@@ -247,22 +246,14 @@
 // which such loads are counted.
 func (g *Gateway) takeLoadPlace(ctx context.Context, service string, perSecond float64) bool {
 	window := g.bounds().LoadWindow.Duration
-	places := int(perSecond*window.Seconds()*g.bounds().LoadOverage) + loadAllowance
+	places := pacing.Count(perSecond, window, g.bounds().LoadOverage)
 	g.mu.Lock()
-	first := g.random.IntN(max(1, places))
-	key := ""
-	for i := range places {
-		candidate := loadsPrefix + service + "/" + strconv.Itoa((first+i)%places)
-		if !g.loadPlaces[candidate] {
-			key = candidate
-			break
-		}
-	}
+	key, free := g.loadPlaces.Free(service, places, g.random.IntN(max(1, places)))
 	g.mu.Unlock()
-	if key == "" {
+	if !free {
 		return false
 	}
-	lease, _, err := g.store.Grant(ctx, window+loadSlack)
+	lease, _, err := g.store.Grant(ctx, pacing.Lifetime(window))
 	if err == nil {
 		_, err = g.store.Commit(ctx, platform.Transaction{
 			Conditions: []platform.Condition{{Key: key}},
@@ -275,22 +266,6 @@
 	return err == nil
 }
 
-const (
-	// loadAllowance is the number of loads in a window beyond the rate; the platform allows three, one is kept back.
-	loadAllowance = 2
-	// loadSlack covers the time between a place's grant and the start of its load.
-	loadSlack = 1500 * time.Millisecond
-)
-
-// noteLoadPlace takes in the key of a place among the loads from the weight store; the lock must be held.
-func (g *Gateway) noteLoadPlace(item platform.Item) {
-	if item.Deleted {
-		delete(g.loadPlaces, item.Key)
-		return
-	}
-	g.loadPlaces[item.Key] = true
-}
-
 // authority reports whether this VM may order a runner now, with the fencing number; the lock must be held.
 func (g *Gateway) authority(now time.Time, runner string) (uint64, bool) {
 	return g.owners.Authority(now, runner)
--- a/transport/gateway/orders.go
+++ b/transport/gateway/orders.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/zinniaroute/zinniaroute/coordination/pacing"
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/protocol/vm"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
@@ -118,13 +119,13 @@
 		g.readReport(ctx, id, address, o)
 		return busyPoll, true
 	}
-	cold := o.ledger.ColdLoad()
+	cold := o.ledger.ColdLoad(now)
 	if cold != "" && now.Sub(o.tried) >= coldRetry {
 		o.tried = now
 		g.mu.Unlock()
 		if g.takeLoadPlace(ctx, engine.service, engine.engine.LoadsPerSecond) {
 			g.mu.Lock()
-			o.ledger.GrantCold()
+			o.ledger.GrantCold(now.Add(pacing.Validity))
 			g.mu.Unlock()
 			return 0, true
 		}
