Leave the members when the store is no longer heard

Cause: a gateway whose calls reach the store while no answers come back kept its key alive, and so its runners. After 8 s it could not order them, and no other VM would: adapters that were absent could not be had for as long as the cut lasted. Seen with real processes behind the fault proxy, answers of the store frozen: every request for an absent adapter was refused after 8 s.

Ruled out: taking over runners of members that still have their key (two VMs could hold them to be theirs).

Change: a VM that has not heard the store for half of its validity, 4 s, stops keeping its key. It orders on until its validity ends; the others wait as after any loss.

--- a/coordination/ownership/desk.go
+++ b/coordination/ownership/desk.go
@@ -73,6 +73,10 @@
 	return d.members[d.self] && now.Sub(d.heard) < d.bounds.Validity
 }
 
+// Hears reports whether this VM still hears the store, so that it should stay a member: one whose calls arrive while no
+// answers come back could not order its runners, and nobody else would.
+func (d *Desk) Hears(now time.Time) bool { return now.Sub(d.heard) < d.bounds.Validity/2 }
+
 // Registered reports whether the store holds this VM's key.
 func (d *Desk) Registered() bool { return d.members[d.self] }
 
--- a/coordination/ownership/desk_property_test.go
+++ b/coordination/ownership/desk_property_test.go
@@ -214,3 +214,13 @@
 	_, may = d.Authority(end, "r")
 	assert.Assert(t, may)
 }
+
+func TestAVMThatNoLongerHearsTheStoreLeaves(t *testing.T) {
+	d := New("a", "1", bounds)
+	now := time.Unix(1_000_000, 0)
+	d.Heard(now)
+	d.Joined("a")
+	assert.Check(t, d.Hears(now.Add(3*time.Second)))
+	assert.Check(t, !d.Hears(now.Add(4*time.Second)))
+	assert.Check(t, d.Valid(now.Add(7*time.Second)), "it may order until its runners can have another owner")
+}
--- /dev/null
+++ b/integration/gateway_store_test.go
@@ -0,0 +1,54 @@
+package integration
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/zinniaroute/zinniaroute/standin/proxy"
+)
+
+// A gateway that loses the store serves on with what it knows, and another one takes its runners over, also when its own
+// calls still reach the store.
+func TestGatewayServesOnWithoutTheStore(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults proxy.Faults
+	}{
+		{"cut", proxy.Faults{Cut: true}},
+		{"silent", proxy.Faults{Freeze: true}},
+		{"no answers", proxy.Faults{FreezeDown: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			runner := d.addRunner("r1", modelService, "large")
+			d.addRunner("p1", plainService)
+			d.addGateway("vm-1")
+			d.waitRunners("vm-1")
+			d.addGateway("vm-2")
+			d.waitRunners("vm-2")
+			assert.Equal(t, d.ask("vm-1", modelPath, "large/a1").status, 200)
+			d.storeLinks["vm-1"].Set(c.faults)
+			fresh := 0
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				for _, request := range []struct{ path, model string }{{modelPath, "large"}, {safePath, ""}} {
+					r := d.ask("vm-1", request.path, request.model)
+					assert.Assert(t, r.status == 200, "%s: %d %s %v", request.path, r.status, r.body, r.err)
+				}
+				fresh++
+				r := d.ask("vm-2", modelPath, fmt.Sprint("large/b", fresh))
+				orders := runner.Orders()
+				if orders[len(orders)-1].Holder == "vm-2" && r.status == 200 {
+					return poll.Success()
+				}
+				return poll.Continue("not taken over")
+			}, poll.WithDelay(50*time.Millisecond), poll.WithTimeout(30*time.Second))
+			(&soak{deployment: d}).checkOrders(runner.Orders())
+		})
+	}
+}
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -55,12 +55,15 @@
 	var lease uint64
 	return group.Every(ctx, renewInterval/4, func(time.Time) {
 		g.mu.Lock()
-		registered := g.owners.Registered()
-		g.mu.Unlock()
 		now := clock.Now()
+		registered, hears := g.owners.Registered(), g.owners.Hears(now)
+		g.mu.Unlock()
 		if lease != 0 && registered && now.Sub(g.renewed) < renewInterval {
 			return
 		}
+		if lease != 0 && registered && !hears {
+			return
+		}
 		if lease != 0 && registered {
 			err := g.store.Keep(ctx, lease)
 			if err == nil {
