Let answers outlive a partition of five seconds

It was our own keep-alive, set to find a silent peer within three seconds; the answers were whole behind the partition.

Ruled out: the runners (their runs ended well), resets by the network. Resuming such streams elsewhere is no way: their routes do not allow it.

Change: keep-alive gives up after 10 s.

The test reads the socket's options and fails before the change (3 s); no proxy in user space can stand for a lost packet.

--- a/transport/httpcall/conn.go
+++ b/transport/httpcall/conn.go
@@ -11,9 +11,10 @@
 const (
 	// readBuffer holds a response header, and the largest piece that the HTTP library peeks at once (8 KiB).
 	readBuffer = 8 << 10
-	// keepAliveIdle, keepAliveInterval and keepAliveCount find a silent peer within about three seconds.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = 700 * time.Millisecond
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find a silent peer after ten seconds: a partition of five, the
+	// usual one on the users' platform, does not cut the answers that it holds up.
+	keepAliveIdle     = 4 * time.Second
+	keepAliveInterval = 2 * time.Second
 	keepAliveCount    = 3
 )
 
--- /dev/null
+++ b/transport/httpcall/conn_test.go
@@ -0,0 +1,31 @@
+package httpcall
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Trouble: a failure domain is cut off for five seconds while answers are under way.
+func TestAnAnswerOutlivesAPartitionOfFiveSeconds(t *testing.T) {
+	_, address := newPeer(t)
+	c, err := dial(address.String(), time.Second)
+	assert.NilError(t, err)
+	defer func() { assert.Check(t, c.Close()) }()
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	option := func(name int) time.Duration {
+		value := 0
+		assert.NilError(t, raw.Control(func(fd uintptr) {
+			value, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, name)
+		}))
+		assert.NilError(t, err)
+		return time.Duration(value) * time.Second
+	}
+	silence := option(syscall.TCP_KEEPIDLE) + option(syscall.TCP_KEEPINTVL)*option(syscall.TCP_KEEPCNT)/time.Second
+	assert.Check(t, silence > 5*time.Second, "cut after %v", silence)
+	assert.Check(t, silence <= 10*time.Second, "a dead peer is found after %v", silence)
+}
