Have the soak cut, freeze and slow links

Cause: the soak stopped, froze and killed processes and troubled the store, but every connection between a gateway and the store or a runner was sound. Promises under half-open and slow links had no randomized check.

Change: the fault proxy stands before each runner and between each gateway and the store; the soak cuts, freezes (both ways or one), delays, throttles links and drops answers.

--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -15,9 +15,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/zinniaroute/zinniaroute/document"
 	"github.com/zinniaroute/zinniaroute/standin/caller"
 	"github.com/zinniaroute/zinniaroute/standin/fault"
 	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
+	"github.com/zinniaroute/zinniaroute/standin/proxy"
 	"github.com/zinniaroute/zinniaroute/transport/group"
 )
 
@@ -41,7 +43,8 @@
 }
 
 // TestSoak checks the promises to callers while processes are killed, stopped, paused and restarted, the store is away or
-// slow or loses answers, runners break off and leave, and configurations change, in series and overlapping.
+// slow or loses answers, links are cut, frozen or slow, runners break off and leave, and configurations change, in series and
+// overlapping.
 func TestSoak(t *testing.T) {
 	portsTaken.Add(int32(*soakPorts))
 	for i := range *soakSeeds {
@@ -88,7 +91,7 @@
 func (s *soak) strike(vms []string) {
 	vm := vms[s.random.IntN(len(vms))]
 	runner := []string{"r1", "r2", "r3", "p1", "p2", "p3"}[s.random.IntN(6)]
-	switch s.random.IntN(9) {
+	switch s.random.IntN(12) {
 	case 0:
 		s.restart(vm, syscall.SIGKILL)
 	case 1:
@@ -107,12 +110,40 @@
 		s.runners[runner].BreakAfter(s.random.IntN(4))
 	case 7:
 		s.runners[runner].Fail(s.random.IntN(3))
+	case 8:
+		s.storeLinks[vm].Set(s.linkFaults())
+	case 9:
+		s.runnerLinks[runner].Set(s.linkFaults())
+	case 10:
+		s.healLinks()
 	default:
 		s.version++
 		s.configure(s.version, 10_000, plainRoute(fmt.Sprint("v", s.version)))
 	}
 }
 
+// linkFaults returns trouble of a network link.
+func (s *soak) linkFaults() proxy.Faults {
+	faults := []proxy.Faults{
+		{Cut: true},
+		{Freeze: true},
+		{FreezeUp: true},
+		{FreezeDown: true},
+		{Delay: document.Duration{Duration: time.Duration(s.random.IntN(400)) * time.Millisecond}},
+		{BytesPerSecond: 100 + s.random.IntN(5000)},
+		{DropAnswers: 1 + s.random.IntN(4)},
+	}
+	return faults[s.random.IntN(len(faults))]
+}
+
+func (s *soak) healLinks() {
+	for _, links := range []map[string]*proxy.Proxy{s.storeLinks, s.runnerLinks} {
+		for _, link := range links {
+			link.Set(proxy.Faults{})
+		}
+	}
+}
+
 func (s *soak) restart(vm string, signal syscall.Signal) {
 	old := s.processes[vm]
 	old.signal(signal)
@@ -124,6 +155,7 @@
 
 func (s *soak) heal(vms []string) {
 	s.store.Faults.Set(fault.Faults{})
+	s.healLinks()
 	for _, runner := range s.runners {
 		runner.BreakAfter(-1)
 		runner.Fail(0)
