Tell a request's story from the logs of many processes

Cause: going from a failed request's identifier to its cause took several greps over the logs of all VMs, in the reader's own order, and lines had times in whole seconds, so that those of two VMs could not be put in order.

Change: zinniactl trace ID joins the request's lines with what its VM believed at the time, what became of its runner and of the runner's other requests, and says the cause in a sentence. Log lines have milliseconds.

--- a/cli/operator.go
+++ b/cli/operator.go
@@ -62,6 +62,11 @@
 			"drain", "Stop a process as planned",
 			"Example: zinniactl drain 127.0.0.1:7102", &drainCommand{operatorOptions: common},
 		},
+		{
+			"trace", "Tell what became of a request and why, from the logs of many processes",
+			"Example: zinniactl trace e400b193651d32cb *.log\nWithout files the logs are read from standard input.",
+			&traceCommand{operatorOptions: common},
+		},
 		{
 			"load", "Send seeded load to entries and measure what callers see",
 			"Example: zinniactl load --entry 127.0.0.1:21010 --model bench --rate 50 --duration 30s --plot load.svg",
--- /dev/null
+++ b/cli/trace.go
@@ -0,0 +1,100 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tidwall/gjson"
+
+	"github.com/zinniaroute/zinniaroute/eventlog/story"
+)
+
+// traceAround is the number of lines about the time of a request that are shown, so that a story fits a screen.
+const traceAround = 15
+
+type traceCommand struct {
+	*operatorOptions `no-flag:"true"`
+	Arguments        struct {
+		Request string   `positional-arg-name:"REQUEST" required:"yes"`
+		Files   []string `positional-arg-name:"LOG"`
+	} `positional-args:"true"`
+}
+
+// Execute tells what became of a request, from the logs of many processes.
+func (c *traceCommand) Execute([]string) error {
+	records, err := c.read()
+	if err != nil {
+		return exitWith(ExitFailure, err)
+	}
+	told, ok := story.Tell(records, c.Arguments.Request)
+	if !ok {
+		return exitWith(ExitFailure, errors.Errorf("none of %d lines names request %s", len(records), c.Arguments.Request))
+	}
+	return c.show(told, func(t *table) { printStory(t, told) })
+}
+
+func (c *traceCommand) read() ([]story.Record, error) {
+	if len(c.Arguments.Files) == 0 {
+		return story.Read(os.Stdin)
+	}
+	var all []story.Record
+	for _, name := range c.Arguments.Files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		records, err := story.Read(file)
+		if closed := file.Close(); err == nil {
+			err = closed
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, name)
+		}
+		all = append(all, records...)
+	}
+	return all, nil
+}
+
+func printStory(t *table, told story.Story) {
+	t.line("request " + told.Request + ", taken at " + told.Began.Format(time.RFC3339Nano))
+	t.line("cause: " + told.Cause)
+	t.row("AFTER MS", "PROCESS", "EVENT", "")
+	printRecords(t, told, told.Own)
+	t.line("")
+	t.line("at the time:")
+	printRecords(t, told, told.Around[:min(traceAround, len(told.Around))])
+	if left := len(told.Around) - traceAround; left > 0 {
+		t.line(fmt.Sprintf("and %d more (all with --output json)", left))
+	}
+	for _, calls := range told.Calls {
+		t.line(fmt.Sprintf("runner %s: %d other requests served, %d calls failed", calls.Runner, calls.Served, calls.Failed))
+	}
+	if told.Omitted > 0 {
+		t.line(fmt.Sprintf("the VM left out %d lines of its log at the time", told.Omitted))
+	}
+}
+
+func printRecords(t *table, told story.Story, records []story.Record) {
+	for _, r := range records {
+		t.row(r.At.Sub(told.Began).Milliseconds(), r.Process, r.Event, details(r.Line))
+	}
+}
+
+// details returns a line's text and the fields that are not shown otherwise.
+func details(line string) string {
+	var text strings.Builder
+	_, _ = io.WriteString(&text, gjson.Get(line, "msg").Str)
+	gjson.Parse(line).ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "msg", "time", "level", "domain", "process", "event", "request":
+		default:
+			_, _ = fmt.Fprintf(&text, " %s=%s", key.Str, value.String())
+		}
+		return true
+	})
+	return text.String()
+}
--- a/eventlog/log.go
+++ b/eventlog/log.go
@@ -11,6 +11,9 @@
 	"github.com/sirupsen/logrus"
 )
 
+// timeFormat has milliseconds, by which the lines of many processes are put in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Log writes the events of one process.
 type Log struct {
 	entry *logrus.Entry
@@ -23,7 +26,7 @@
 	logger := logrus.New()
 	logger.SetOutput(out)
 	logger.SetLevel(level)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	return &Log{entry: logger.WithFields(logrus.Fields{"process": process, "domain": domain})}
 }
 
--- /dev/null
+++ b/eventlog/story/doc.go
@@ -0,0 +1,2 @@
+// Package story joins the log lines of many processes into what became of one request, and why.
+package story
--- /dev/null
+++ b/integration/gateway_trace_test.go
@@ -0,0 +1,67 @@
+package integration
+
+import (
+	"context"
+	"io"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/zinniaroute/zinniaroute/standin/caller"
+	"github.com/zinniaroute/zinniaroute/standin/proxy"
+)
+
+// The story of each failed request leads from its identifier to the fault that was made.
+func TestTraceTellsWhyARequestFailed(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(2, 1000)
+	d.addRunner("r1", modelService, "large")
+	d.addRunner("p1", plainService)
+	d.addGateway("vm-1")
+	d.addGateway("vm-2")
+	d.waitRunners("vm-1")
+	d.waitRunners("vm-2")
+	cases := []struct {
+		name  string
+		fault func()
+		path  string
+		model string
+		want  []string
+	}{
+		{
+			"broke off", func() { d.runners["r1"].BreakAfter(2) }, modelPath, "large",
+			[]string{"cut after 1 runs: answer broke off", "runner r1"},
+		},
+		{
+			"no such model", func() {}, modelPath, "small/a1",
+			[]string{"refused, not run: no endpoint holds small/a1"},
+		},
+		{
+			"silent", func() { d.runnerLinks["p1"].Set(proxy.Faults{FreezeDown: true}) }, unsafePath, "",
+			[]string{"fail after 1 runs: out of time", "runner p1: header: context deadline exceeded"},
+		},
+	}
+	for _, c := range cases {
+		c.fault()
+		request := newRequest(context.Background(), d.gateways["vm-1"], c.path, c.model, []byte("{}"))
+		response, err := testClient.Do(request)
+		assert.NilError(t, err, c.name)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.Check(t, err == nil || c.name == "broke off", "%s: %v", c.name, err)
+		assert.NilError(t, response.Body.Close())
+		logs, err := filepath.Glob(filepath.Join(d.directory, "*.log"))
+		assert.NilError(t, err)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			output, _ := d.ctl(append([]string{"trace", request.Header.Get(caller.AttemptHeader)}, logs...)...)
+			for _, text := range c.want {
+				if !strings.Contains(output, text) {
+					return poll.Continue("%s: no %q in:\n%s", c.name, text, output)
+				}
+			}
+			return poll.Success()
+		})
+	}
+}
