Decide again with the dump of a gateway

Cause: which runner a request goes to follows from some ten inputs for each runner; the state dump held only what was sent to them, so nobody could say afterwards why one was left out. And zinniactl dump asked for the addresses of controls, which a gateway has none of.

Choosing and listing share one weighing.

--- a/cli/operator.go
+++ b/cli/operator.go
@@ -67,6 +67,11 @@
 			"Example: zinniactl trace e400b193651d32cb *.log\nWithout files the logs are read from standard input.",
 			&traceCommand{operatorOptions: common},
 		},
+		{
+			"replay", "Decide on a request again with the dump of a gateway, and show what decides it",
+			"Example: zinniactl dump 10.1.0.15:8788 > dump.json; zinniactl replay --service chat --unit crest --prompt-tokens 900 " +
+				"dump.json", &replayCommand{operatorOptions: common},
+		},
 		{
 			"load", "Send seeded load to entries and measure what callers see",
 			"Example: zinniactl load --entry 127.0.0.1:21010 --model bench --rate 50 --duration 30s --plot load.svg",
--- /dev/null
+++ b/cli/replay.go
@@ -0,0 +1,107 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/zinniaroute/zinniaroute/state/admission"
+	"github.com/zinniaroute/zinniaroute/state/dispatch"
+	"github.com/zinniaroute/zinniaroute/state/fleet"
+	"github.com/zinniaroute/zinniaroute/state/routes"
+	"github.com/zinniaroute/zinniaroute/transport/gateway"
+)
+
+type replayCommand struct {
+	*operatorOptions `no-flag:"true"`
+	Service          string        `long:"service" required:"yes" description:"service of the request"`
+	Unit             string        `long:"unit" description:"MODEL or MODEL/ADAPTER; none for a plain service"`
+	PromptTokens     int           `long:"prompt-tokens" description:"size of the prompt"`
+	Rank             int           `long:"rank" description:"rank of the request, 0 goes first"`
+	Target           time.Duration `long:"target" default:"1s" description:"time to the first byte that is aimed at"`
+	After            time.Duration `long:"after" description:"time from the dump to the request"`
+	Tried            []string      `long:"tried" description:"runner that was tried before"`
+	Arguments        struct {
+		Dump string `positional-arg-name:"DUMP"`
+	} `positional-args:"true" required:"true"`
+}
+
+// decision is what a dump's process would decide on a request.
+type decision struct {
+	Endpoints []dispatch.Weighed `json:"endpoints"`
+	Verdict   admission.Verdict  `json:"verdict"`
+}
+
+// Execute decides on a request again with what a dump holds.
+func (c *replayCommand) Execute([]string) error {
+	data, err := os.ReadFile(c.Arguments.Dump)
+	if err != nil {
+		return exitWith(ExitFailure, errors.WithStack(err))
+	}
+	var dump gateway.Dump
+	if err := json.Unmarshal(data, &dump); err != nil {
+		return exitWith(ExitFailure, errors.Wrap(err, c.Arguments.Dump))
+	}
+	if dump.Desk.At.IsZero() {
+		return exitWith(ExitFailure, errors.Errorf("%s is no dump of a gateway", c.Arguments.Dump))
+	}
+	d := c.decide(dump)
+	return c.show(d, func(t *table) { printDecision(t, d) })
+}
+
+func (c *replayCommand) decide(dump gateway.Dump) decision {
+	now := dump.Desk.At.Add(c.After)
+	request := c.request(now)
+	weighed := dispatch.Restore(dump.Desk).Weigh(now, request, dump.Endpoints(c.Service), c.Tried)
+	d := decision{Endpoints: weighed}
+	if len(weighed) == 0 || weighed[0].Unfit != "" {
+		d.Verdict.Reason = "no endpoint can take it"
+		return d
+	}
+	best := weighed[0]
+	d.Verdict = admission.Decide(now, request, admission.Prospect{
+		Wait: best.Wait, Duty: best.Duty, Backlog: best.Backlog, Unread: best.Unread,
+	})
+	return d
+}
+
+func (c *replayCommand) request(now time.Time) *fleet.Request {
+	model, adapter, _ := strings.Cut(c.Unit, "/")
+	kind := routes.Stream
+	if model == "" {
+		kind = routes.Safe
+	}
+	return &fleet.Request{
+		Kind: kind, Rank: c.Rank, Unit: fleet.Unit{Model: model, Adapter: adapter}, PromptTokens: c.PromptTokens,
+		Parts: []fleet.Part{{Tokens: c.PromptTokens}}, Arrived: now, Target: c.Target,
+	}
+}
+
+func printDecision(t *table, d decision) {
+	t.row("ENDPOINT", "DOMAIN", "COST MS", "WAIT MS", "FAILURES MS", "AWAY MS", "DUTY", "BACKLOG", "REMARK")
+	for _, w := range d.Endpoints {
+		remark := w.Unfit
+		switch {
+		case remark == "" && w.Doubt != "":
+			remark = "only if no other: " + w.Doubt
+		case remark == "" && w.Absent:
+			remark = "the adapter must be loaded first"
+		}
+		t.row(
+			w.Runner.ID, w.Runner.Domain, w.Cost.Milliseconds(), w.Wait.Milliseconds(), w.Failures.Milliseconds(),
+			w.Away.Milliseconds(), fmt.Sprintf("%.2f", w.Duty), w.Backlog, remark,
+		)
+	}
+	switch {
+	case d.Verdict.Admit:
+		t.line("sent to the first one")
+	case d.Verdict.Hold:
+		t.line("held back for a moment: " + d.Verdict.Reason)
+	default:
+		t.line("refused: " + d.Verdict.Reason)
+	}
+}
--- a/cli/view.go
+++ b/cli/view.go
@@ -218,13 +218,9 @@
 	if err != nil {
 		return err
 	}
-	client, err := o.client()
-	if err != nil {
-		return err
-	}
 	ctx, cancel := operatorContext(callLimit)
 	defer cancel()
-	return unavailable(call(ctx, client, address))
+	return unavailable(call(ctx, operatorapi.NewClient(nil), address))
 }
 
 type dumpCommand struct {
--- a/integration/gateway_harness_test.go
+++ b/integration/gateway_harness_test.go
@@ -40,9 +40,10 @@
 }
 
 type gatewayNode struct {
-	callers   netip.AddrPort
-	readiness netip.AddrPort
-	settings  string
+	callers    netip.AddrPort
+	readiness  netip.AddrPort
+	operations netip.AddrPort
+	settings   string
 }
 
 const (
@@ -182,7 +183,8 @@
 		first, second = second, freeAddress(d.t)
 	}
 	node := gatewayNode{
-		callers: freeAddress(d.t), readiness: freeAddress(d.t), settings: filepath.Join(d.directory, name+".jsonc"),
+		callers: freeAddress(d.t), readiness: freeAddress(d.t), operations: second,
+		settings: filepath.Join(d.directory, name+".jsonc"),
 	}
 	link, storeAt := d.link(d.storeAt)
 	d.storeLinks[name] = link
--- a/integration/gateway_trace_test.go
+++ b/integration/gateway_trace_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -65,3 +66,32 @@
 		})
 	}
 }
+
+// The dump of a process decides again as the process did.
+func TestReplayDecidesWithADump(t *testing.T) {
+	d := newDeployment(t)
+	d.addRunner("r1", modelService, "large")
+	d.addRunner("r2", modelService, "small")
+	d.addRunner("p1", plainService)
+	d.addGateway("vm-1")
+	d.waitRunners("vm-1")
+	dump, code := d.ctl("dump", d.gateways["vm-1"].operations.String())
+	assert.Equal(t, code, 0, dump)
+	file := filepath.Join(d.directory, "dump.json")
+	assert.NilError(t, os.WriteFile(file, []byte(dump), 0o600))
+	cases := []struct {
+		unit string
+		want []string
+	}{
+		{"large", []string{"sent to the first one", "r2        a       ", "it does not hold the model"}},
+		{"large/a9", []string{"the adapter must be loaded first"}},
+		{"unknown", []string{"refused: no endpoint can take it"}},
+	}
+	for _, c := range cases {
+		output, code := d.ctl("replay", "--service", modelService, "--unit", c.unit, "--prompt-tokens", "500", file)
+		assert.Equal(t, code, 0, output)
+		for _, text := range c.want {
+			assert.Check(t, strings.Contains(output, text), "%s: no %q in:\n%s", c.unit, text, output)
+		}
+	}
+}
--- a/state/dispatch/desk.go
+++ b/state/dispatch/desk.go
@@ -107,67 +107,16 @@
 
 // Choose returns the endpoint that begins to answer first, or false when none can.
 func (d *Desk) Choose(now time.Time, r *fleet.Request, runners []*fleet.Runner, excluded []string) (Choice, bool) {
-	var best Choice
-	bestCost := time.Duration(-1)
 	usable := d.usable(now, r, runners, excluded)
-	home := d.home(r, usable)
-	least := d.leastFailures(now, usable)
-	for _, runner := range usable {
-		l := d.load(runner.ID)
-		wait := d.wait(now, r, runner, l, runner.ID == home)
-		cost := wait + time.Duration((l.failureShare(now)-least)*float64(failureCost))
-		absent := r.Unit.Adapter != "" && !runner.Holdings.Has(r.Unit)
-		if absent {
-			cost += adapterCost
-			wait += adapterCost
-		}
-		if runner.Domain != d.domain {
-			cost += crossDomain
-		}
-		if bestCost < 0 || cost < bestCost {
-			duty := (l.reading(now) + l.others.Reading) / prefillRate
-			best, bestCost = Choice{Runner: runner, Wait: wait, Duty: duty, Absent: absent}, cost
-			best.Backlog = l.backlog()
-			best.Unread = d.unread(now, r, runner.ID, runner.ID == home)
+	scale := d.scale(now, r, usable)
+	var best Weighed
+	for i, runner := range usable {
+		if w := d.weigh(now, r, runner, scale); i == 0 || w.Cost < best.Cost {
+			best = w
 		}
 	}
 	best.Candidates = len(usable)
-	return best, best.Runner != nil
-}
-
-// usable returns the endpoints that hold what is asked for and are thought to answer.
-func (d *Desk) usable(now time.Time, r *fleet.Request, runners []*fleet.Runner, excluded []string) []*fleet.Runner {
-	var usable, doubtful []*fleet.Runner
-	for _, runner := range runners {
-		if runner.Leaving || slices.Contains(excluded, runner.ID) {
-			continue
-		}
-		if r.Unit.Model != "" && !runner.Holdings.Has(fleet.Unit{Model: r.Unit.Model}) {
-			continue
-		}
-		l := d.load(runner.ID)
-		unordered := runner.Holdings.Busy || now.Before(l.unorderedUntil)
-		if r.Unit.Adapter != "" && unordered && !runner.Holdings.Has(r.Unit) {
-			continue
-		}
-		if l.silent(now) || now.Before(l.fullUntil) || d.cutOff(now, runner.Domain) {
-			doubtful = append(doubtful, runner)
-			continue
-		}
-		usable = append(usable, runner)
-	}
-	if len(usable) == 0 {
-		return doubtful
-	}
-	return usable
-}
-
-func (d *Desk) leastFailures(now time.Time, runners []*fleet.Runner) float64 {
-	least := 1.0
-	for _, runner := range runners {
-		least = min(least, d.load(runner.ID).failureShare(now))
-	}
-	return least
+	return best.Choice, best.Runner != nil
 }
 
 // wait predicts the time to the first byte of a request on a runner.
--- a/transport/gateway/operations.go
+++ b/transport/gateway/operations.go
@@ -7,6 +7,7 @@
 	"github.com/zinniaroute/zinniaroute/coordination/ownership"
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
+	"github.com/zinniaroute/zinniaroute/transport/clock"
 	"github.com/zinniaroute/zinniaroute/transport/group"
 	"github.com/zinniaroute/zinniaroute/transport/httpserve"
 	"github.com/zinniaroute/zinniaroute/transport/operations"
@@ -17,14 +18,14 @@
 	server := httpserve.NewServer(listener, httpserve.DefaultBounds(), false)
 	operations.Serve(server, operations.Source{
 		Health: g.ready,
-		State:  func(now time.Time) any { return g.state(now) },
+		State:  func(time.Time) any { return g.state(clock.Now()) },
 		Stop:   g.RequestStop,
 	})
 	server.Start(run, "operations")
 }
 
-// dump is the state of a gateway.
-type dump struct {
+// Dump is the state of a gateway.
+type Dump struct {
 	VM       string    `json:"vm"`
 	Domain   string    `json:"domain"`
 	Started  time.Time `json:"started"`
@@ -38,14 +39,32 @@
 	Gatherer      string    `json:"gatherer"`
 	Members       []string  `json:"members"`
 	// RepeatsLeft are the repeats that may be sent now, by service.
-	RepeatsLeft map[string]int            `json:"repeatsLeft"`
-	Runners     []runnerDump              `json:"runners"`
-	Sent        map[string]dispatch.Share `json:"sent"`
+	RepeatsLeft map[string]int `json:"repeatsLeft"`
+	Runners     []RunnerDump   `json:"runners"`
+	// Desk is what decides to which runner a request goes.
+	Desk dispatch.Snapshot `json:"desk"`
 }
 
-type runnerDump struct {
+// Endpoints returns the runners of a service as they were known.
+func (d Dump) Endpoints(service string) []*fleet.Runner {
+	var runners []*fleet.Runner
+	for _, r := range d.Runners {
+		if r.Service == service {
+			runners = append(runners, &fleet.Runner{
+				ID: r.ID, Service: r.Service, Domain: r.Domain, Slots: r.Slots, Leaving: r.Leaving, Holdings: r.Holdings,
+				AsOf: r.AsOf,
+			})
+		}
+	}
+	return runners
+}
+
+// RunnerDump is what a gateway knows of a runner.
+type RunnerDump struct {
 	ID       string          `json:"id"`
 	Service  string          `json:"service"`
+	Domain   string          `json:"domain"`
+	Slots    int             `json:"slots"`
 	Leaving  bool            `json:"leaving"`
 	Holdings fleet.Holdings  `json:"holdings"`
 	AsOf     time.Time       `json:"asOf"`
@@ -55,14 +74,14 @@
 	Sequence uint64 `json:"sequence"`
 }
 
-func (g *Gateway) state(now time.Time) dump {
+func (g *Gateway) state(now time.Time) Dump {
 	hub := g.hub(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	d := dump{
+	d := Dump{
 		VM: g.settings.Name, Domain: g.settings.Domain, Started: g.started, Stopping: g.stopping.Load(),
 		InFlight: g.inFlight.Load(), StoreRevision: g.known, StoreHeard: g.heard, Gatherer: hub,
-		Members: g.owners.Members(), RepeatsLeft: make(map[string]int), Sent: g.desk.Shares(now),
+		Members: g.owners.Members(), RepeatsLeft: make(map[string]int), Desk: g.desk.Snapshot(now),
 	}
 	if table := g.table.Load(); table != nil {
 		d.Configuration = table.Version
@@ -71,8 +90,9 @@
 		d.RepeatsLeft[service] = budget.Left(now)
 	}
 	for _, r := range g.directory.All() {
-		shown := runnerDump{
-			ID: r.ID, Service: r.Service, Leaving: r.Leaving, Holdings: r.Holdings, AsOf: r.AsOf, Owner: g.owners.Claim(r.ID),
+		shown := RunnerDump{
+			ID: r.ID, Service: r.Service, Domain: r.Domain, Slots: r.Slots, Leaving: r.Leaving, Holdings: r.Holdings,
+			AsOf: r.AsOf, Owner: g.owners.Claim(r.ID),
 		}
 		if o := g.ordered[r.ID]; o != nil {
 			shown.Ordered, shown.Sequence = true, o.ledger.Sequence()
