Keep the port that a test found free

Cause: with tests of one package side by side, listening on a port that was just found free failed in 3 of 4 runs: "address already in use". The listener of the search is closed at once, but a process that another test forks in that moment holds it until it runs its program.

Ruled out: outgoing connections (their ports begin at 32768), two calls with one port (the counter is atomic).

Change: a test's own listener is the one of the search.

--- a/integration/gateway_harness_test.go
+++ b/integration/gateway_harness_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -79,13 +78,6 @@
 	return d
 }
 
-func listen(t *testing.T) net.Listener {
-	t.Helper()
-	listener, err := net.Listen("tcp", freeAddress(t).String())
-	assert.NilError(t, err)
-	return listener
-}
-
 // link starts a proxy before an address and returns it with its own.
 func (d *deployment) link(target netip.AddrPort) (*proxy.Proxy, netip.AddrPort) {
 	d.t.Helper()
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -119,8 +119,8 @@
 
 var portsTaken atomic.Int32
 
-// freeAddress returns a loopback address that nothing listens on and that no other call returns.
-func freeAddress(t *testing.T) netip.AddrPort {
+// listen opens a listener on a loopback address that nothing listens on and that no other call gets.
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	for {
 		port := firstPort + portsTaken.Add(1)
@@ -128,14 +128,22 @@
 			t.Fatal("no port is left")
 		}
 		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
-		listener, err := net.Listen("tcp", address.String())
-		if err == nil {
-			_ = listener.Close()
-			return address
+		if listener, err := net.Listen("tcp", address.String()); err == nil {
+			return listener
 		}
 	}
 }
 
+// freeAddress returns an address for a process to listen on. A process that another test forks at this moment holds the
+// port until it runs its program, so that it must not be listened on at once.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener := listen(t)
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	assert.NilError(t, listener.Close())
+	return address
+}
+
 func (s *system) start(name string, arguments ...string) *process {
 	s.t.Helper()
 	log, err := os.Create(filepath.Join(s.directory, name+".log"))
