Read the store at once when its reader has lost it

At 2.5 s the store begins to answer 429 to three VMs, among them the one that reads it for all; a configuration is acknowledged at 2.76; five VMs have it in force at 4.84, 0.08 s too late. The reader went on handing out its last word until it was 1.5 s old, and the others then trusted the last exchange for one more second.

Ruled out: the exchange itself (it ran every 250 ms), the listing (30 ms).

Change: a reader that fails twice in a row hands on nothing more, and a VM that is handed nothing reads the store itself at once. The word may be 1.25 s old, and a watch waits for 0.5 s at most, so that a silent store shows in time too.

TestGatewaysApplyAConfigurationWhenTheirReaderLosesTheStore (three gateways, the reader's link to the store cut, silent or without answers, then a new configuration; bound 2 s as the sites state): before 2.29 to 2.34 s, after 0.78 to 1.31 s.

--- a/coordination/relay/log.go
+++ b/coordination/relay/log.go
@@ -88,6 +88,9 @@
 	}
 }
 
+// Lost notes that the store does not answer, so that nothing is handed on until it is heard again.
+func (l *Log) Lost() { l.heard = time.Time{} }
+
 // Since returns what has changed after a revision, or everything when that is not known, and false when this VM has not
 // heard the store for longer than maxAge.
 func (l *Log) Since(now time.Time, known uint64, maxAge time.Duration) (View, bool) {
--- a/coordination/relay/log_property_test.go
+++ b/coordination/relay/log_property_test.go
@@ -109,4 +109,10 @@
 	assert.Assert(t, !ok)
 	view, ok := l.Since(now.Add(time.Second/2), 0, time.Second)
 	assert.Assert(t, ok && view.Full)
+	l.Lost()
+	_, ok = l.Since(now.Add(time.Second/2), 0, time.Second)
+	assert.Assert(t, !ok, "the others must read the store themselves")
+	l.Heard(now.Add(time.Second), 6)
+	_, ok = l.Since(now.Add(time.Second), 0, time.Second)
+	assert.Assert(t, ok)
 }
--- /dev/null
+++ b/integration/gateway_config_test.go
@@ -0,0 +1,57 @@
+package integration
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/zinniaroute/zinniaroute/standin/proxy"
+)
+
+// applyTime is the time within which a configuration must be in force after the store has it; source: the sites' bound.
+const applyTime = 2 * time.Second
+
+// Trouble: the store refuses, or falls silent for, just the gateway that reads it for all others, and then a configuration
+// changes.
+func TestGatewaysApplyAConfigurationWhenTheirReaderLosesTheStore(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults proxy.Faults
+	}{
+		{"cut", proxy.Faults{Cut: true}},
+		{"silent", proxy.Faults{Freeze: true}},
+		{"no answers", proxy.Faults{FreezeDown: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.addRunner("p1", plainService)
+			for _, vm := range []string{"vm-1", "vm-2", "vm-3"} {
+				d.addGateway(vm)
+			}
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if d.ask("vm-3", safePath, "").status == 200 {
+					return poll.Success()
+				}
+				return poll.Continue("not served")
+			}, poll.WithDelay(20*time.Millisecond))
+			d.storeLinks["vm-1"].Set(c.faults)
+			d.configure(2, 10_000, plainRoute("added"))
+			changed := time.Now()
+			for _, vm := range []string{"vm-2", "vm-3"} {
+				poll.WaitOn(t, func(poll.LogT) poll.Result {
+					if d.ask(vm, "/added/one", "").status == 200 {
+						return poll.Success()
+					}
+					return poll.Continue("%s has no new route", vm)
+				}, poll.WithDelay(10*time.Millisecond))
+				took := time.Since(changed)
+				t.Logf("%s: %v", vm, took)
+				assert.Check(t, took < applyTime, "%s: %v", vm, took)
+			}
+		})
+	}
+}
--- a/transport/gateway/follow.go
+++ b/transport/gateway/follow.go
@@ -18,14 +18,18 @@
 )
 
 const (
-	// watchWait is the longest wait for a change: runners write every second or so, so that more silence is suspect.
-	watchWait = time.Second
+	// watchWait is the longest wait for a change. What the store says is then at most twice watchWait and watchPause old,
+	// and less where several runners write every second.
+	watchWait = 500 * time.Millisecond
 	// watchPause lets changes gather between two calls.
 	watchPause = 500 * time.Millisecond
 	// storeRetry is the pause after a failed call to the store.
 	storeRetry = 200 * time.Millisecond
 	// restCheck is how often a VM that does not read the store looks whether it must.
 	restCheck = 100 * time.Millisecond
+	// failuresUntilLost is the number of failures in a row after which the others are told to read the store themselves;
+	// a single refusal passes.
+	failuresUntilLost = 2
 	// relayFresh is the age up to which what another VM handed on is relied upon; exchanges are a quarter second apart.
 	relayFresh = time.Second
 	// returnGrace is the time in which entries that lapsed during an outage of the store come back.
@@ -34,27 +38,37 @@
 
 // follow keeps the configuration and the directory as the store has them, unless the gathering VM hands them on.
 func (g *Gateway) follow(ctx context.Context) error {
-	lost := false
+	failures := 0
 	for ctx.Err() == nil {
 		if g.resting(clock.Now()) {
 			group.Sleep(ctx, restCheck)
 			continue
 		}
-		err := g.readStore(ctx, &lost)
+		err := g.readStore(ctx, &failures)
 		if ctx.Err() != nil || err == nil {
 			continue
 		}
 		if !errors.Is(err, platform.ErrHistoryLost) {
-			if !lost {
-				g.log.Emit(eventlog.StoreLost, err)
-			}
-			lost = true
+			failures++
+			g.noteStoreLost(err, failures)
 		}
 		group.Sleep(ctx, storeRetry)
 	}
 	return nil
 }
 
+// noteStoreLost has the other VMs read the store themselves after some failures in a row.
+func (g *Gateway) noteStoreLost(err error, failures int) {
+	if failures == 1 {
+		g.log.Emit(eventlog.StoreLost, err)
+	}
+	if failures >= failuresUntilLost {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.relay.Lost()
+	}
+}
+
 // resting reports whether another VM hands on what the store says, so that this one need not read it.
 func (g *Gateway) resting(now time.Time) bool {
 	if g.hub(now) == g.settings.Name {
@@ -66,14 +80,14 @@
 }
 
 // readStore lists the store and watches it until a call fails or another VM hands it on.
-func (g *Gateway) readStore(ctx context.Context, lost *bool) error {
-	revision, err := g.list(ctx, *lost)
+func (g *Gateway) readStore(ctx context.Context, failures *int) error {
+	revision, err := g.list(ctx, *failures > 0)
 	if err != nil {
 		return err
 	}
-	if *lost {
+	if *failures > 0 {
 		g.log.Emit(eventlog.StoreBack, revision)
-		*lost = false
+		*failures = 0
 	}
 	return g.watch(ctx, revision)
 }
--- a/transport/gateway/gather.go
+++ b/transport/gateway/gather.go
@@ -23,8 +23,9 @@
 	silentTime = 3 * time.Second
 	// suspicionAge is the age up to which the gathering VM hands on suspicions: some exchanges.
 	suspicionAge = 3 * time.Second
-	// viewAge is the age up to which a VM hands on what the store says.
-	viewAge = 1500 * time.Millisecond
+	// viewAge is the age up to which a VM hands on what the store says. With an exchange, restCheck and a listing it leaves
+	// a margin to the two seconds in which the platform wants a configuration in force.
+	viewAge = 1250 * time.Millisecond
 	// useMemory is the time for which uses of adapters are told.
 	useMemory = 10 * time.Second
 )
@@ -173,6 +174,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if s.View == nil {
+		g.relayed = time.Time{}
+	}
 	g.gatherer, g.told = s.Gatherer, s.Told
 	g.suspects.Learn(now, s.Suspicions)
 	for _, runner := range g.directory.All() {
