Drop two bounds and a field that decide nothing

Cause: bounds.contact and bounds.drain of the settings and the remaining time of a leaving runner were decoded, checked and handed on, and nothing read them.

Ruled out: using them. What they bound is met by shorter times of our own (a leaving runner gets nothing new at once).

--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -30,10 +30,6 @@
 
 // Bounds are the times and figures that the platform holds the system to.
 type Bounds struct {
-	// Contact is the undisturbed time after which a VM must know what the store says.
-	Contact document.Duration `json:"contact"`
-	// Drain is the time after which a leaving runner gets nothing new.
-	Drain document.Duration `json:"drain"`
 	// Grace is the time from a request to stop until the process is killed.
 	Grace document.Duration `json:"grace"`
 	// TakeOver is the time that must pass between the orders of two holders to one runner.
@@ -82,8 +78,6 @@
 }
 
 func (c *checker) bounds(b Bounds) {
-	c.positive("bounds.contact", b.Contact)
-	c.positive("bounds.drain", b.Drain)
 	c.positive("bounds.grace", b.Grace)
 	c.positive("bounds.takeOver", b.TakeOver)
 	c.positive("bounds.repeatWindow", b.RepeatWindow)
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -88,8 +88,6 @@
 	Slots   int
 	// Leaving runners take no new work.
 	Leaving bool
-	// Remaining is the time from the entry's arrival until a leaving runner is gone, or zero when it is not known.
-	Remaining time.Duration
 	// Incarnation identifies the runner's start: the Unix millisecond of it.
 	Incarnation int64
 	Holdings    Holdings
