--- a/cli/trace.go
+++ b/cli/trace.go
@@ -10,10 +10,10 @@
 	"github.com/pkg/errors"
 	"github.com/tidwall/gjson"
 
-	"github.com/zinniaroute/zinniaroute/eventlog/story"
+	"github.com/zinniaroute/zinniaroute/eventlog/trace"
 )
 
-// traceAround is the number of lines about the time of a request that are shown, so that a story fits a screen.
+// traceAround is the number of lines about the time of a request that are shown, so that a trace fits a screen.
 const traceAround = 15
 
 type traceCommand struct {
@@ -30,24 +30,24 @@
 	if err != nil {
 		return exitWith(ExitFailure, err)
 	}
-	told, ok := story.Tell(records, c.Arguments.Request)
+	found, ok := trace.Build(records, c.Arguments.Request)
 	if !ok {
 		return exitWith(ExitFailure, errors.Errorf("none of %d lines names request %s", len(records), c.Arguments.Request))
 	}
-	return c.show(told, func(t *table) { printStory(t, told) })
+	return c.show(found, func(t *table) { printTrace(t, found) })
 }
 
-func (c *traceCommand) read() ([]story.Record, error) {
+func (c *traceCommand) read() ([]trace.Record, error) {
 	if len(c.Arguments.Files) == 0 {
-		return story.Read(os.Stdin)
+		return trace.Read(os.Stdin)
 	}
-	var all []story.Record
+	var all []trace.Record
 	for _, name := range c.Arguments.Files {
 		file, err := os.Open(name)
 		if err != nil {
 			return nil, errors.WithStack(err)
 		}
-		records, err := story.Read(file)
+		records, err := trace.Read(file)
 		if closed := file.Close(); err == nil {
 			err = closed
 		}
@@ -59,28 +59,28 @@
 	return all, nil
 }
 
-func printStory(t *table, told story.Story) {
-	t.line("request " + told.Request + ", taken at " + told.Began.Format(time.RFC3339Nano))
-	t.line("cause: " + told.Cause)
+func printTrace(t *table, found trace.Trace) {
+	t.line("request " + found.Request + ", taken at " + found.Began.Format(time.RFC3339Nano))
+	t.line("cause: " + found.Cause)
 	t.row("AFTER MS", "PROCESS", "EVENT", "")
-	printRecords(t, told, told.Own)
+	printRecords(t, found, found.Own)
 	t.line("")
 	t.line("at the time:")
-	printRecords(t, told, told.Around[:min(traceAround, len(told.Around))])
-	if left := len(told.Around) - traceAround; left > 0 {
+	printRecords(t, found, found.Around[:min(traceAround, len(found.Around))])
+	if left := len(found.Around) - traceAround; left > 0 {
 		t.line(fmt.Sprintf("and %d more (all with --output json)", left))
 	}
-	for _, calls := range told.Calls {
+	for _, calls := range found.Calls {
 		t.line(fmt.Sprintf("runner %s: %d other requests served, %d calls failed", calls.Runner, calls.Served, calls.Failed))
 	}
-	if told.Omitted > 0 {
-		t.line(fmt.Sprintf("the VM left out %d lines of its log at the time", told.Omitted))
+	if found.Omitted > 0 {
+		t.line(fmt.Sprintf("the VM left out %d lines of its log at the time", found.Omitted))
 	}
 }
 
-func printRecords(t *table, told story.Story, records []story.Record) {
+func printRecords(t *table, found trace.Trace, records []trace.Record) {
 	for _, r := range records {
-		t.row(r.At.Sub(told.Began).Milliseconds(), r.Process, r.Event, details(r.Line))
+		t.row(r.At.Sub(found.Began).Milliseconds(), r.Process, r.Event, details(r.Line))
 	}
 }
 
--- a/eventlog/story/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package story joins the log lines of many processes into what became of one request, and why.
-package story
--- a/eventlog/story/cause.go
+++ b/eventlog/trace/cause.go
@@ -1,4 +1,4 @@
-package story
+package trace
 
 import (
 	"fmt"
@@ -7,13 +7,13 @@
 )
 
 // cause says in a sentence why the request ended as it did.
-func (s *Story) cause() string {
-	last := s.Own[len(s.Own)-1]
+func (t *Trace) cause() string {
+	last := t.Own[len(t.Own)-1]
 	switch last.Event {
 	case eventlog.RequestServed.Number:
-		return s.served(last)
+		return t.served(last)
 	case eventlog.RequestNotServed.Number:
-		return s.notServed(last)
+		return t.notServed(last)
 	case eventlog.RefusedStopping.Number:
 		return "refused: the process was about to stop; the caller's next try goes to another VM"
 	case eventlog.NoRoute.Number:
@@ -24,13 +24,13 @@
 }
 
 // served names the longest part of the time of a request.
-func (s *Story) served(last Record) string {
+func (t *Trace) served(last Record) string {
 	whole, wait, first := last.Field("ms").Int(), last.Field("beforeMs").Int(), last.Field("firstMs").Int()
 	text := fmt.Sprintf("served in %d ms: %d before it was sent for the last time, %d to the first byte (%d predicted), %d for the rest",
 		whole, wait, first, last.Field("predictedMs").Int(), whole-wait-first)
 	switch {
 	case wait >= first && wait >= whole-wait-first:
-		return text + "; it waited: " + s.waiting()
+		return text + "; it waited: " + t.waiting()
 	case first >= whole-wait-first:
 		return text + "; runner " + last.Runner + " was slow to begin"
 	default:
@@ -39,53 +39,53 @@
 }
 
 // waiting names what a request waited for before it was sent.
-func (s *Story) waiting() string {
-	if r, ok := s.latest(eventlog.AdapterAsked); ok {
+func (t *Trace) waiting() string {
+	if r, ok := t.latest(eventlog.AdapterAsked); ok {
 		return "for adapter " + r.Field("unit").Str
 	}
-	if r, ok := s.latest(eventlog.EndpointFailed); ok {
+	if r, ok := t.latest(eventlog.EndpointFailed); ok {
 		return "runner " + r.Runner + " failed it: " + r.Field("error").Str
 	}
 	return "behind other prompts, or for its model"
 }
 
-func (s *Story) notServed(last Record) string {
+func (t *Trace) notServed(last Record) string {
 	outcome, reason := last.Field("outcome").Str, last.Field("reason").Str
 	switch outcome {
 	case "refuse":
-		return "refused, not run: " + reason + s.refusal()
+		return "refused, not run: " + reason + t.refusal()
 	case "fail", "cut":
 		text := fmt.Sprintf("%s after %d runs: %s", outcome, last.Field("runs").Int(), reason)
-		if r, ok := s.latest(eventlog.EndpointFailed); ok {
-			text += "; runner " + r.Runner + ": " + r.Field("error").Str + s.others(r.Runner)
+		if r, ok := t.latest(eventlog.EndpointFailed); ok {
+			text += "; runner " + r.Runner + ": " + r.Field("error").Str + t.others(r.Runner)
 		}
 		return text
 	default:
-		return fmt.Sprintf("runner %s answered %d itself%s", last.Runner, last.Field("status").Int(), s.others(last.Runner))
+		return fmt.Sprintf("runner %s answered %d itself%s", last.Runner, last.Field("status").Int(), t.others(last.Runner))
 	}
 }
 
 // refusal adds to a refusal what decided it.
-func (s *Story) refusal() string {
-	if r, ok := s.latest(eventlog.TurnedAway); ok {
+func (t *Trace) refusal() string {
+	if r, ok := t.latest(eventlog.TurnedAway); ok {
 		return fmt.Sprintf("; the best runner, %s, was predicted to begin after %d ms, with %.2f of its time taken by prompts",
 			r.Runner, r.Field("predictedMs").Int(), r.Field("duty").Num)
 	}
-	if r, ok := s.latest(eventlog.AdapterAsked); ok && !r.Field("held").Bool() {
+	if r, ok := t.latest(eventlog.AdapterAsked); ok && !r.Field("held").Bool() {
 		return "; " + r.Field("owner").Str + " could not have " + r.Field("unit").Str + " loaded on " + r.Runner + ": " + r.Field("reason").Str
 	}
-	if r, ok := s.latest(eventlog.EndpointFailed); ok {
-		return "; runner " + r.Runner + " was not reached: " + r.Field("error").Str + s.others(r.Runner)
+	if r, ok := t.latest(eventlog.EndpointFailed); ok {
+		return "; runner " + r.Runner + " was not reached: " + r.Field("error").Str + t.others(r.Runner)
 	}
-	if r, ok := s.latest(eventlog.NoEndpoint); ok {
+	if r, ok := t.latest(eventlog.NoEndpoint); ok {
 		return fmt.Sprintf("; %d runners were listed %d ms before", r.Field("runners").Int(), r.Field("listAgeMs").Int())
 	}
 	return ""
 }
 
 // others tells how other requests fared on a runner at the time.
-func (s *Story) others(runner string) string {
-	for _, c := range s.Calls {
+func (t *Trace) others(runner string) string {
+	for _, c := range t.Calls {
 		if c.Runner == runner {
 			return fmt.Sprintf(" (at the time it served %d other requests and failed %d)", c.Served, c.Failed)
 		}
@@ -94,10 +94,10 @@
 }
 
 // latest returns the last of the request's own lines of an event.
-func (s *Story) latest(event eventlog.Event) (Record, bool) {
-	for i := len(s.Own) - 1; i >= 0; i-- {
-		if s.Own[i].Event == event.Number {
-			return s.Own[i], true
+func (t *Trace) latest(event eventlog.Event) (Record, bool) {
+	for i := len(t.Own) - 1; i >= 0; i-- {
+		if t.Own[i].Event == event.Number {
+			return t.Own[i], true
 		}
 	}
 	return Record{}, false
--- a/eventlog/story/record.go
+++ b/eventlog/trace/record.go
@@ -1,4 +1,4 @@
-package story
+package trace
 
 import (
 	"bufio"
--- a/eventlog/story/story.go
+++ b/eventlog/trace/trace.go
@@ -1,4 +1,4 @@
-package story
+package trace
 
 import (
 	"slices"
@@ -21,8 +21,8 @@
 	Failed int    `json:"failed"`
 }
 
-// Story is what the logs tell of one request.
-type Story struct {
+// Trace is what the logs hold on one request.
+type Trace struct {
 	Request string    `json:"request"`
 	Began   time.Time `json:"began"`
 	// Own are the lines that name the request.
@@ -35,28 +35,28 @@
 	Cause   string `json:"cause"`
 }
 
-// Tell joins the events that concern a request, and reports false when none names it.
-func Tell(records []Record, request string) (Story, bool) {
-	s := Story{Request: request}
+// Build joins the events that concern a request, and reports false when none names it.
+func Build(records []Record, request string) (Trace, bool) {
+	t := Trace{Request: request}
 	for _, r := range records {
 		if r.Request == request {
-			s.Own = append(s.Own, r)
+			t.Own = append(t.Own, r)
 		}
 	}
-	if len(s.Own) == 0 {
-		return s, false
+	if len(t.Own) == 0 {
+		return t, false
 	}
-	byTime(s.Own)
-	last := s.Own[len(s.Own)-1]
-	s.Began = last.At.Add(-time.Duration(last.Field("ms").Int()) * time.Millisecond)
+	byTime(t.Own)
+	last := t.Own[len(t.Own)-1]
+	t.Began = last.At.Add(-time.Duration(last.Field("ms").Int()) * time.Millisecond)
 	for _, r := range records {
-		if !r.At.Before(s.Began.Add(-before)) && !r.At.After(last.At.Add(after)) {
-			s.add(r)
+		if !r.At.Before(t.Began.Add(-before)) && !r.At.After(last.At.Add(after)) {
+			t.add(r)
 		}
 	}
-	byTime(s.Around)
-	s.Cause = s.cause()
-	return s, true
+	byTime(t.Around)
+	t.Cause = t.cause()
+	return t, true
 }
 
 func byTime(records []Record) {
@@ -80,40 +80,40 @@
 }
 
 // add takes in an event of the time of the request.
-func (s *Story) add(r Record) {
+func (t *Trace) add(r Record) {
 	switch {
-	case r.Request == s.Request:
+	case r.Request == t.Request:
 	case r.Request != "":
-		s.count(r)
-	case r.Process == s.Own[0].Process && among(ofVM, r):
+		t.count(r)
+	case r.Process == t.Own[0].Process && among(ofVM, r):
 		if r.Event == eventlog.LinesOmitted.Number {
-			s.Omitted += r.Field("lines").Int()
+			t.Omitted += r.Field("lines").Int()
 		}
-		s.Around = append(s.Around, r)
-	case s.met(r.Runner) && among(ofRunner, r):
-		s.Around = append(s.Around, r)
+		t.Around = append(t.Around, r)
+	case t.met(r.Runner) && among(ofRunner, r):
+		t.Around = append(t.Around, r)
 	}
 }
 
 // met reports whether the request had to do with a runner.
-func (s *Story) met(runner string) bool {
-	return runner != "" && slices.ContainsFunc(s.Own, func(r Record) bool { return r.Runner == runner })
+func (t *Trace) met(runner string) bool {
+	return runner != "" && slices.ContainsFunc(t.Own, func(r Record) bool { return r.Runner == runner })
 }
 
 // count takes in another request to one of the runners.
-func (s *Story) count(r Record) {
+func (t *Trace) count(r Record) {
 	served, failed := r.Event == eventlog.RequestServed.Number, r.Event == eventlog.EndpointFailed.Number
-	if !s.met(r.Runner) || !served && !failed {
+	if !t.met(r.Runner) || !served && !failed {
 		return
 	}
-	at := slices.IndexFunc(s.Calls, func(c Calls) bool { return c.Runner == r.Runner })
+	at := slices.IndexFunc(t.Calls, func(c Calls) bool { return c.Runner == r.Runner })
 	if at < 0 {
-		s.Calls = append(s.Calls, Calls{Runner: r.Runner})
-		at = len(s.Calls) - 1
+		t.Calls = append(t.Calls, Calls{Runner: r.Runner})
+		at = len(t.Calls) - 1
 	}
 	if served {
-		s.Calls[at].Served++
+		t.Calls[at].Served++
 	} else {
-		s.Calls[at].Failed++
+		t.Calls[at].Failed++
 	}
 }
--- a/eventlog/story/story_test.go
+++ b/eventlog/trace/trace_test.go
@@ -1,4 +1,4 @@
-package story
+package trace
 
 import (
 	"strings"
@@ -25,7 +25,7 @@
 not a line of ours {"event":1}
 `
 
-func TestTell(t *testing.T) {
+func TestBuild(t *testing.T) {
 	records, err := Read(strings.NewReader(logs))
 	assert.NilError(t, err)
 	cases := []struct {
@@ -39,16 +39,16 @@
 		{"r-late", []string{"served in 1332 ms", "1016 to the first byte (315 predicted)", "i-4 was slow to begin"}, 1},
 	}
 	for _, c := range cases {
-		told, ok := Tell(records, c.request)
+		built, ok := Build(records, c.request)
 		assert.Assert(t, ok, c.request)
 		for _, text := range c.cause {
-			assert.Check(t, strings.Contains(told.Cause, text), "%s: %s", c.request, told.Cause)
+			assert.Check(t, strings.Contains(built.Cause, text), "%s: %s", c.request, built.Cause)
 		}
-		assert.Equal(t, len(told.Around), c.around, c.request)
+		assert.Equal(t, len(built.Around), c.around, c.request)
 	}
-	late, _ := Tell(records, "r-late")
+	late, _ := Build(records, "r-late")
 	assert.Equal(t, late.Omitted, int64(12))
 	assert.Equal(t, late.Began.UnixMilli()%100_000, int64(18_668))
-	_, ok := Tell(records, "unknown")
+	_, ok := Build(records, "unknown")
 	assert.Check(t, !ok)
 }
--- a/integration/gateway_trace_test.go
+++ b/integration/gateway_trace_test.go
@@ -15,7 +15,7 @@
 	"github.com/zinniaroute/zinniaroute/standin/proxy"
 )
 
-// The story of each failed request leads from its identifier to the fault that was made.
+// The trace of each failed request leads from its identifier to the fault that was made.
 func TestTraceTellsWhyARequestFailed(t *testing.T) {
 	d := newDeployment(t)
 	d.configure(2, 1000)
--- a/transport/entry/drive.go
+++ b/transport/entry/drive.go
@@ -63,20 +63,20 @@
 	return &final
 }
 
-// purse is the budget of repeats of all of an entry's requests.
-type purse struct {
+// sharedBudget is the budget of repeats of all of an entry's requests.
+type sharedBudget struct {
 	mu     sync.Mutex
 	budget *routing.RetryBudget
 }
 
-func (p *purse) earn(now time.Time) {
+func (p *sharedBudget) earn(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.budget.Earn(now)
 }
 
 // Take uses up one repeat, or reports that none is left.
-func (p *purse) Take(now time.Time) bool {
+func (p *sharedBudget) Take(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.budget.Spend(now) {
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -50,7 +50,7 @@
 	table    *table
 	demand   *demand
 
-	budget *purse
+	budget *sharedBudget
 
 	// suspected wakes the duty that spreads suspicions.
 	suspected *ring.Ring[struct{}]
@@ -73,7 +73,7 @@
 		http:          httpcall.NewClient(dialTimeout),
 		table:         newTable(s.Process.Domain, uint64(now.UnixNano())),
 		demand:        newDemand(now),
-		budget:        &purse{budget: routing.NewRetryBudget(now)},
+		budget:        &sharedBudget{budget: routing.NewRetryBudget(now)},
 		suspected:     ring.New[struct{}](1),
 		started:       now,
 		stopRequested: make(chan struct{}),
