Hand out holdings that do not change

The holdings that a ledger hands out shared their lists of adapters with it; after an eviction, which leaves room in the list, the next adapter overwrites a name in what was handed out. Others could so be told of an adapter that the runner does not hold.

Ruled out: the test and the load (the race report names both sides).

TestHoldingsThatWereHandedOutDoNotChange: before, the handed-out list reads "a2", "a3" in place of "a1", "a2"; after, it stays.

--- a/state/orders/ledger.go
+++ b/state/orders/ledger.go
@@ -97,13 +97,14 @@
 func (l *Ledger) Incarnation() int64 { return l.incarnation }
 
 // Holdings returns what the runner can serve: a model that is being unloaded is left out, and an adapter on its way is
-// not there yet.
+// not there yet. The holdings are the caller's own.
 func (l *Ledger) Holdings() fleet.Holdings {
 	served := fleet.Holdings{Busy: l.Busy()}
 	for _, held := range l.holdings.Models {
 		if held.Model == l.unloading {
 			continue
 		}
+		held.Adapters = slices.Clone(held.Adapters)
 		served.Models = append(served.Models, held)
 	}
 	return served
--- a/state/orders/ledger_property_test.go
+++ b/state/orders/ledger_property_test.go
@@ -268,3 +268,17 @@
 		assert.Equal(t, ok, c.want, c.name)
 	}
 }
+
+func TestHoldingsThatWereHandedOutDoNotChange(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	l := New("r", engine)
+	l.Reported(fleet.Report{Incarnation: 1, Sequence: 1, Holdings: fleet.Holdings{
+		Models: []fleet.Held{{Model: "small", Adapters: []string{"a1", "a2"}}},
+	}})
+	before := l.Holdings()
+	l.removeAdapter(fleet.Unit{Model: "small", Adapter: "a1"})
+	l.coming[fleet.Unit{Model: "small", Adapter: "a3"}] = now
+	assert.Assert(t, l.Arrive(now))
+	assert.DeepEqual(t, before.Models[0].Adapters, []string{"a1", "a2"})
+	assert.DeepEqual(t, l.Holdings().Models[0].Adapters, []string{"a2", "a3"})
+}
