Step all requests through one loop

Cause: the gateway and the fronts of transport/entry each had the loop that carries out what a request's machine asks for, and each noted by itself that a request whose answer was lost as its time ended may have run. Both looked at the context twice, once for the note and once for the event that takes the loss's place; ended in between, the machine would have refused a request that may have run.

Ruled out: only sharing the note, which leaves two loops that must agree.

Change: lifecycle.Drive has the loop; the three kinds of exchange give events and say how an event is settled when the time is over. The note follows from the settled event, so that nothing lies between.

--- a/transport/entry/drive.go
+++ b/transport/entry/drive.go
@@ -10,38 +10,12 @@
 	"github.com/zinniaroute/zinniaroute/state/routing"
 )
 
-// attempts carries out what the machine of one request asks for and tells what came of it.
-type attempts interface {
-	choose(ctx context.Context) lifecycle.Event
-	send(ctx context.Context) lifecycle.Event
-	pass(ctx context.Context) lifecycle.Event
-}
-
-// drive steps a request's machine until it has decided on the final answer. A request whose time is over or whose
-// caller is gone ends as expired.
-func drive(ctx context.Context, m *lifecycle.Machine, a attempts) lifecycle.Action {
-	action := m.Step(time.Now(), lifecycle.Started{})
-	for {
-		var event lifecycle.Event
-		switch action {
-		case lifecycle.Choose:
-			event = a.choose(ctx)
-		case lifecycle.Send, lifecycle.Resume:
-			event = a.send(ctx)
-			if _, lost := event.(lifecycle.Lost); lost && ctx.Err() != nil {
-				m.NoteSent()
-			}
-		case lifecycle.Relay:
-			event = a.pass(ctx)
-		default:
-			return action
-		}
-		action = m.Step(time.Now(), inTime(ctx, event))
-	}
-}
+// timed settles the events of the requests of an entry.
+type timed struct{}
 
-// inTime replaces a failure by the end of the request's time when that has come; answers are delivered all the same.
-func inTime(ctx context.Context, event lifecycle.Event) lifecycle.Event {
+// Settle replaces a failure by the end of the request's time when that has come, or its caller is gone; answers are
+// delivered all the same.
+func (timed) Settle(ctx context.Context, event lifecycle.Event) lifecycle.Event {
 	switch event.(type) {
 	case lifecycle.NoneFree, lifecycle.Unreached, lifecycle.Declined, lifecycle.Lost, lifecycle.Broken:
 		if ctx.Err() != nil {
--- a/transport/entry/run.go
+++ b/transport/entry/run.go
@@ -20,6 +20,7 @@
 
 // modelRun serves a request to a model on one endpoint after another until it is answered or given up.
 type modelRun struct {
+	timed
 	entry    *Entry
 	exchange *exchange
 	request  *modelRequest
@@ -49,15 +50,15 @@
 
 func (m *modelRun) serve(ctx context.Context) *failure {
 	m.entry.budget.earn(time.Now())
-	action := drive(ctx, m.machine, m)
+	action := lifecycle.Drive(ctx, time.Now, m.machine, m)
 	if action == lifecycle.End {
 		return m.reply
 	}
 	return conclude(action, m.last)
 }
 
-// choose picks an endpoint, or refuses a request that is quarantined, too late, or that no endpoint serves.
-func (m *modelRun) choose(ctx context.Context) lifecycle.Event {
+// Choose picks an endpoint, or refuses a request that is quarantined, too late, or that no endpoint serves.
+func (m *modelRun) Choose(ctx context.Context) lifecycle.Event {
 	table := m.entry.table
 	group.Sleep(ctx, table.caution(time.Now(), m.print))
 	now := time.Now()
@@ -143,8 +144,8 @@
 	return overloaded(codeNotReady, "no endpoint holds "+m.request.parsed.Model+" yet", 2*time.Second)
 }
 
-// send sends the request to the chosen endpoint and reads the head of its answer, or the whole of it.
-func (m *modelRun) send(ctx context.Context) lifecycle.Event {
+// Send sends the request to the chosen endpoint and reads the head of its answer, or the whole of it.
+func (m *modelRun) Send(ctx context.Context) lifecycle.Event {
 	request := httpcall.NewRequest("POST", m.endpoint.address, m.request.path, m.request.body)
 	request.Header.Set(caller.HeaderRequestID, m.exchange.id)
 	m.sent, m.proved, m.last, m.reply = time.Now(), false, nil, nil
@@ -173,8 +174,8 @@
 	return lifecycle.Answered{}
 }
 
-// pass delivers the arrived answer to the caller.
-func (m *modelRun) pass(ctx context.Context) lifecycle.Event {
+// Pass delivers the arrived answer to the caller.
+func (m *modelRun) Pass(ctx context.Context) lifecycle.Event {
 	switch {
 	case m.reply != nil:
 		return lifecycle.Completed{}
--- a/transport/entry/service.go
+++ b/transport/entry/service.go
@@ -28,6 +28,7 @@
 
 // serviceRun serves a call to a plain service.
 type serviceRun struct {
+	timed
 	entry      *Entry
 	exchange   *exchange
 	target     catalog.Target
@@ -125,7 +126,7 @@
 	s.entry.budget.earn(time.Now())
 	limits := lifecycle.Limits{Repeatable: s.idempotent && s.upload == nil, MaxRuns: maxAttempts}
 	s.machine = lifecycle.New(limits, s.entry.budget)
-	action := drive(ctx, s.machine, s)
+	action := lifecycle.Drive(ctx, time.Now, s.machine, s)
 	failed := conclude(action, s.last)
 	if action == lifecycle.Cut {
 		s.cut(failed)
@@ -134,7 +135,7 @@
 	return failed
 }
 
-func (s *serviceRun) choose(ctx context.Context) lifecycle.Event {
+func (s *serviceRun) Choose(ctx context.Context) lifecycle.Event {
 	if ctx.Err() != nil {
 		s.last = expired(ctx, s.machine.MayHaveRun())
 		return lifecycle.Expired{}
@@ -154,7 +155,7 @@
 	return lifecycle.Chosen{Endpoint: endpoint.name}
 }
 
-func (s *serviceRun) send(ctx context.Context) lifecycle.Event {
+func (s *serviceRun) Send(ctx context.Context) lifecycle.Event {
 	attempt, cancel := context.WithCancel(ctx)
 	s.cancel = cancel
 	sent := time.Now()
@@ -218,8 +219,8 @@
 	return lifecycle.Lost{}
 }
 
-// pass relays the endpoint's answer; once it has begun, a break closes the caller's connection.
-func (s *serviceRun) pass(context.Context) lifecycle.Event {
+// Pass relays the endpoint's answer; once it has begun, a break closes the caller's connection.
+func (s *serviceRun) Pass(context.Context) lifecycle.Event {
 	c := s.exchange.rc
 	s.copyHeader(s.endpoint, s.call.Response)
 	if s.recorded != nil {
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -105,7 +105,7 @@
 	)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	x.run(ctx)
+	x.finish(ctx, lifecycle.Drive(ctx, clock.Now, x.machine, x))
 }
 
 // requestPath returns the path of a request as the caller sent it, without its query.
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -56,45 +56,34 @@
 	first time.Duration
 }
 
-// run drives the machine until the request has its final answer.
-func (x *exchange) run(ctx context.Context) {
-	action := x.machine.Step(clock.Now(), lifecycle.Started{})
-	for {
-		switch action {
-		case lifecycle.Choose:
-			action = x.choose(ctx)
-		case lifecycle.Send, lifecycle.Resume:
-			action = x.send(ctx)
-		case lifecycle.Relay:
-			action = x.pass(ctx)
-		default:
-			x.finish(ctx, action)
-			return
-		}
+// Settle replaces an event by the end of the request's time or the caller's leaving, but for answers that have come.
+func (x *exchange) Settle(ctx context.Context, event lifecycle.Event) lifecycle.Event {
+	switch event.(type) {
+	case lifecycle.Answered, lifecycle.Completed, lifecycle.CallerLeft:
+		return event
 	}
-}
-
-// step takes in an event unless the caller has left or the request's time is over.
-func (x *exchange) step(ctx context.Context, event lifecycle.Event) lifecycle.Action {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		event = lifecycle.Expired{}
+		return lifecycle.Expired{}
 	case ctx.Err() != nil:
-		event = lifecycle.CallerLeft{}
+		return lifecycle.CallerLeft{}
+	default:
+		return event
 	}
-	return x.machine.Step(clock.Now(), event)
 }
 
-func (x *exchange) choose(ctx context.Context) lifecycle.Action {
+// Choose picks an endpoint, or tells why none takes the request.
+func (x *exchange) Choose(ctx context.Context) lifecycle.Event {
 	choice, refusal := x.gateway.place(ctx, x)
 	if refusal != nil {
-		return x.step(ctx, *refusal)
+		return *refusal
 	}
 	x.choice = choice
-	return x.step(ctx, lifecycle.Chosen{Endpoint: choice.Runner.ID})
+	return lifecycle.Chosen{Endpoint: choice.Runner.ID}
 }
 
-func (x *exchange) send(ctx context.Context) lifecycle.Action {
+// Send sends the request to the chosen endpoint, and reads the head of its answer or the whole of it.
+func (x *exchange) Send(ctx context.Context) lifecycle.Event {
 	now := clock.Now()
 	g := x.gateway
 	g.mu.Lock()
@@ -124,7 +113,7 @@
 // urgency returns the order in which a runner admits the request; lower goes first.
 func (x *exchange) urgency() int { return min(9, 3+x.request.Rank) }
 
-func (x *exchange) failedCall(ctx context.Context, err error) lifecycle.Action {
+func (x *exchange) failedCall(ctx context.Context, err error) lifecycle.Event {
 	now := clock.Now()
 	var failed *httpcall.Error
 	sent := !errors.As(err, &failed) || failed.Sent()
@@ -141,10 +130,9 @@
 	x.gateway.mu.Unlock()
 	x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, sent, err)
 	if sent {
-		x.lost(ctx)
-		return x.step(ctx, lifecycle.Lost{})
+		return lifecycle.Lost{}
 	}
-	return x.step(ctx, lifecycle.Unreached{})
+	return lifecycle.Unreached{}
 }
 
 // suspect notes that a model runner ended its connection under the request, which may have crashed it; the lock must be
@@ -170,18 +158,11 @@
 	x.gateway.suspects.Finished(quarantine.Fingerprint(x.request.Print), x.choice.Runner.ID)
 }
 
-// lost makes sure that a request that was sent counts as possibly run, also when its time has ended.
-func (x *exchange) lost(ctx context.Context) {
-	if ctx.Err() != nil {
-		x.machine.NoteSent()
-	}
-}
-
-func (x *exchange) judge(ctx context.Context) lifecycle.Action {
+func (x *exchange) judge(ctx context.Context) lifecycle.Event {
 	header := &x.call.Response.Header
 	verdict := platform.ReadVerdict(header)
 	if verdict.NotRun {
-		return x.declined(ctx, verdict)
+		return x.declined(verdict)
 	}
 	if status := header.StatusCode(); status >= statusOK && status < statusRedirect && !verdict.Sealed {
 		x.call.Abort()
@@ -189,7 +170,7 @@
 	}
 	if x.route.Kind == routes.Stream && header.StatusCode() == statusOK {
 		x.began()
-		return x.machine.Step(clock.Now(), lifecycle.Answered{})
+		return lifecycle.Answered{}
 	}
 	body, err := x.call.ReadAll(maxAnswerBytes)
 	if err != nil {
@@ -203,10 +184,10 @@
 	}
 	x.began()
 	x.ended(outcome)
-	return x.machine.Step(clock.Now(), lifecycle.Answered{Failure: failure})
+	return lifecycle.Answered{Failure: failure}
 }
 
-func (x *exchange) declined(ctx context.Context, verdict platform.Verdict) lifecycle.Action {
+func (x *exchange) declined(verdict platform.Verdict) lifecycle.Event {
 	_, err := x.call.ReadAll(maxAnswerBytes)
 	if err != nil {
 		x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, true, err)
@@ -217,7 +198,7 @@
 	}
 	status := x.call.Response.StatusCode()
 	x.gateway.log.Emit(eventlog.EndpointDeclined, x.request.ID, x.choice.Runner.ID, status, x.request.Unit.String())
-	return x.step(ctx, lifecycle.Declined{Misdirected: verdict.Misdirected})
+	return lifecycle.Declined{Misdirected: verdict.Misdirected}
 }
 
 func (x *exchange) began() {
@@ -233,18 +214,18 @@
 	x.gateway.desk.Ended(clock.Now(), x.ticket, outcome)
 }
 
-// pass delivers the arrived answer to the caller.
-func (x *exchange) pass(ctx context.Context) lifecycle.Action {
+// Pass delivers the arrived answer to the caller.
+func (x *exchange) Pass(ctx context.Context) lifecycle.Event {
 	response := &x.context.Response
 	if x.route.Kind == routes.Stream && x.call.Response.StatusCode() == statusOK {
 		return x.passEvents(ctx)
 	}
 	platform.CopyHead(&x.call.Response.Header, &response.Header)
 	response.SetBodyRaw(x.body)
-	return x.machine.Step(clock.Now(), lifecycle.Completed{})
+	return lifecycle.Completed{}
 }
 
-func (x *exchange) passEvents(ctx context.Context) lifecycle.Action {
+func (x *exchange) passEvents(ctx context.Context) lifecycle.Event {
 	if x.relay == nil {
 		platform.CopyHead(&x.call.Response.Header, &x.context.Response.Header)
 		x.relay = newEventRelay(x.context)
@@ -255,14 +236,14 @@
 		x.call.Done()
 		x.ended(dispatch.Served)
 		x.cleared()
-		return x.machine.Step(clock.Now(), lifecycle.Completed{})
+		return lifecycle.Completed{}
 	case errors.Is(err, errCallerGone) || ctx.Err() != nil:
 		x.call.Abort()
 		x.ended(dispatch.Dropped)
 		if ctx.Err() == nil {
-			return x.machine.Step(clock.Now(), lifecycle.CallerLeft{})
+			return lifecycle.CallerLeft{}
 		}
-		return x.step(ctx, lifecycle.Completed{})
+		return lifecycle.Broken{}
 	default:
 		x.call.Abort()
 		x.ended(dispatch.Failed)
@@ -270,7 +251,7 @@
 		x.suspect(clock.Now(), err)
 		x.gateway.mu.Unlock()
 		x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, true, err)
-		return x.step(ctx, lifecycle.Broken{Resumable: x.route.Resumable})
+		return lifecycle.Broken{Resumable: x.route.Resumable}
 	}
 }
 
