Keep one copy of half-lives, reading rates and lost calls

Cause: averages that forget by halves were written in dispatch and in allocation, with the rate of prompt reading and the time of a token as constants in both; whether a failed call may have reached its endpoint was asked in six places; what admission needs of a choice was copied in the gateway and in zinniactl replay.

Change: state/decay, fleet.ReadRate and fleet.StepTime, httpcall.WasSent, Choice.Prospect.

--- a/cli/replay.go
+++ b/cli/replay.go
@@ -62,10 +62,7 @@
 		d.Verdict.Reason = "no endpoint can take it"
 		return d
 	}
-	best := weighed[0]
-	d.Verdict = admission.Decide(now, request, admission.Prospect{
-		Wait: best.Wait, Duty: best.Duty, Backlog: best.Backlog, Unread: best.Unread,
-	})
+	d.Verdict = admission.Decide(now, request, weighed[0].Prospect())
 	return d
 }
 
--- a/state/allocation/demand.go
+++ b/state/allocation/demand.go
@@ -1,29 +1,28 @@
 package allocation
 
 import (
-	"math"
 	"time"
 
+	"github.com/zinniaroute/zinniaroute/state/decay"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 )
 
 const (
 	// demandHalfLife is the time after which half of the past work is forgotten: demand moves within some seconds.
 	demandHalfLife = 2 * time.Second
-	// readRate is the number of prompt tokens that a runner reads in a second; source: the users' sheets.
-	readRate = 38_000
+	// leastWork is the work in seconds below which a model is forgotten.
+	leastWork = 1e-6
 	// ownShare is the part of shared prompt tokens that is read in spite of caches.
 	ownShare = 0.3
-	// tokenWork is a runner's time for one token of one request of a usual batch; source: a step of 5 ms for about 16
-	// requests.
-	tokenWork = 5 * time.Millisecond / 16
+	// tokenWork is a runner's time for one token of one request of a usual batch of about 16 requests.
+	tokenWork = fleet.StepTime / 16
 )
 
 // Work estimates a runner's time for a request.
 func Work(r *fleet.Request) time.Duration {
 	shared := r.SharedTokens()
 	unread := float64(r.PromptTokens-shared) + ownShare*float64(shared)
-	return time.Duration(unread/readRate*float64(time.Second)) + time.Duration(r.OutputTokens)*tokenWork
+	return time.Duration(unread/fleet.ReadRate*float64(time.Second)) + time.Duration(r.OutputTokens)*tokenWork
 }
 
 // Meter measures the demand for models as work a second.
@@ -46,9 +45,8 @@
 	if passed <= 0 {
 		return
 	}
-	factor := math.Exp2(-float64(passed) / float64(demandHalfLife))
-	for model := range m.work {
-		if m.work[model] *= factor; m.work[model] < 1e-6 {
+	for model, work := range m.work {
+		if m.work[model] = decay.After(work, passed, demandHalfLife); m.work[model] < leastWork {
 			delete(m.work, model)
 		}
 	}
@@ -60,7 +58,7 @@
 	m.decay(now)
 	rates := make(Demand, len(m.work))
 	for model, work := range m.work {
-		rates[model] = work * math.Ln2 / demandHalfLife.Seconds()
+		rates[model] = decay.Rate(work, demandHalfLife)
 	}
 	return rates
 }
--- a/state/dispatch/desk.go
+++ b/state/dispatch/desk.go
@@ -8,14 +8,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/zinniaroute/zinniaroute/state/admission"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 )
 
 const (
-	// prefillRate is the number of prompt tokens that a runner reads in a second; source: the users' sheets (38 a ms).
-	prefillRate = 38_000
-	// stepTime is the base time of a token; source: the users' sheets (4.4 to 5.2 ms).
-	stepTime = 5 * time.Millisecond
 	// runningCost is what each running request adds to the time to the first token of another.
 	runningCost = 400 * time.Microsecond
 	// adapterCost is the time of an order and of the load of an absent adapter; source: the sheets (5 to 10 ms), and
@@ -105,6 +102,11 @@
 	Candidates int
 }
 
+// Prospect returns what is predicted for the request on the endpoint.
+func (c Choice) Prospect() admission.Prospect {
+	return admission.Prospect{Wait: c.Wait, Duty: c.Duty, Unread: c.Unread, Backlog: c.Backlog}
+}
+
 // Choose returns the endpoint that begins to answer first, or false when none can.
 func (d *Desk) Choose(now time.Time, r *fleet.Request, runners []*fleet.Runner, excluded []string) (Choice, bool) {
 	usable := d.usable(now, r, runners, excluded)
@@ -127,13 +129,13 @@
 		work := plainWork + plainWork*time.Duration(waiting)/time.Duration(max(1, runner.Slots))
 		return time.Duration(float64(work)*l.slow(now)) + time.Duration(running)*time.Millisecond
 	}
-	wait := stepTime + reading(l.ahead(rankOf(r.Rank))) + time.Duration(running)*runningCost
+	wait := fleet.StepTime + reading(l.ahead(rankOf(r.Rank))) + time.Duration(running)*runningCost
 	own := float64(reading(d.unread(now, r, runner.ID, home))) * d.Pace(r.Unit.Model)
 	return time.Duration((float64(wait) + own) * l.slow(now))
 }
 
 // reading returns the time in which a runner reads prompt tokens for a model of the usual pace.
-func reading(tokens int) time.Duration { return time.Duration(tokens) * time.Second / prefillRate }
+func reading(tokens int) time.Duration { return time.Duration(tokens) * time.Second / fleet.ReadRate }
 
 // Pace returns how many times longer than usual a model takes, as measured on prompts that nothing was ahead of.
 func (d *Desk) Pace(model string) float64 {
@@ -146,7 +148,7 @@
 
 // measurePace takes in the time that a runner took for a prompt that nothing was ahead of.
 func (d *Desk) measurePace(model string, unread int, measured time.Duration) {
-	ratio := float64(max(measured-stepTime, time.Millisecond)) / float64(reading(unread))
+	ratio := float64(max(measured-fleet.StepTime, time.Millisecond)) / float64(reading(unread))
 	ratio = math.Log(min(max(ratio, leastPace), mostPace))
 	before := d.paces[model]
 	d.paces[model] = before + paceWeight*(ratio-before)
--- a/state/dispatch/desk_test.go
+++ b/state/dispatch/desk_test.go
@@ -149,7 +149,7 @@
 		request := draft(uint64(i))
 		choice, _ := d.Choose(now, request, runners, nil)
 		ticket := d.Sent(now, request, choice)
-		now = now.Add(stepTime + reading(ticket.unread)/4)
+		now = now.Add(fleet.StepTime + reading(ticket.unread)/4)
 		d.Began(now, ticket)
 		d.Ended(now, ticket, Served)
 	}
--- a/state/dispatch/load.go
+++ b/state/dispatch/load.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/zinniaroute/zinniaroute/state/decay"
 )
 
 const (
@@ -98,19 +100,12 @@
 	unorderedUntil time.Time
 }
 
-func decay(value float64, since time.Duration, halfLife time.Duration) float64 {
-	if since <= 0 {
-		return value
-	}
-	return value * math.Exp2(-float64(since)/float64(halfLife))
-}
-
 func (l *load) failureShare(now time.Time) float64 {
-	return decay(l.failures, now.Sub(l.noted), failureHalfLife)
+	return decay.After(l.failures, now.Sub(l.noted), failureHalfLife)
 }
 
 func (l *load) slow(now time.Time) float64 {
-	return math.Exp(decay(l.slowness, now.Sub(l.timed), slownessHalfLife))
+	return math.Exp(decay.After(l.slowness, now.Sub(l.timed), slownessHalfLife))
 }
 
 func (l *load) note(now time.Time, failed bool) {
@@ -125,7 +120,7 @@
 func (l *load) measure(now time.Time, measured, predicted time.Duration) {
 	ratio := float64(measured+slownessGround) / float64(predicted+slownessGround)
 	ratio = math.Log(min(max(ratio, 1.0/maxSlowness), maxSlowness))
-	before := decay(l.slowness, now.Sub(l.timed), slownessHalfLife)
+	before := decay.After(l.slowness, now.Sub(l.timed), slownessHalfLife)
 	l.slowness, l.timed = before+slownessWeight*(ratio-before), now
 }
 
@@ -176,12 +171,12 @@
 )
 
 func (l *load) addRead(now time.Time, tokens int) {
-	l.read, l.readAt = decay(l.read, now.Sub(l.readAt), readHalfLife)+float64(tokens), now
+	l.read, l.readAt = decay.After(l.read, now.Sub(l.readAt), readHalfLife)+float64(tokens), now
 }
 
 // reading returns the prompt tokens that this VM sends a second.
 func (l *load) reading(now time.Time) float64 {
-	return decay(l.read, now.Sub(l.readAt), readHalfLife) * math.Ln2 / readHalfLife.Seconds()
+	return decay.Rate(decay.After(l.read, now.Sub(l.readAt), readHalfLife), readHalfLife)
 }
 
 // backlog returns the prompt tokens that the runner has been sent and has not read, by any VM.
--- a/state/dispatch/snapshot.go
+++ b/state/dispatch/snapshot.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/zinniaroute/zinniaroute/state/decay"
 )
 
 // Snapshot is what a desk knows, from which its choices can be made again. Which runner keeps the shared parts of
@@ -65,9 +67,9 @@
 func (l *load) snapshot(now time.Time) LoadSnapshot {
 	s := LoadSnapshot{
 		Running: l.running, Pending: l.pending, Others: l.others,
-		ReadTokens: decay(l.read, now.Sub(l.readAt), readHalfLife),
+		ReadTokens: decay.After(l.read, now.Sub(l.readAt), readHalfLife),
 		Failures:   l.failureShare(now),
-		Slowness:   decay(l.slowness, now.Sub(l.timed), slownessHalfLife),
+		Slowness:   decay.After(l.slowness, now.Sub(l.timed), slownessHalfLife),
 		FullUntil:  l.fullUntil, SilentUntil: l.silentUntil, Misses: l.misses, Began: l.began, UnorderedUntil: l.unorderedUntil,
 	}
 	for _, t := range l.waiting {
--- a/state/dispatch/weigh.go
+++ b/state/dispatch/weigh.go
@@ -70,7 +70,7 @@
 	atHome := runner.ID == s.home
 	w := Weighed{Choice: Choice{
 		Runner: runner, Wait: d.wait(now, r, runner, l, atHome), Backlog: l.backlog(), Unread: d.unread(now, r, runner.ID, atHome),
-		Duty:   (l.reading(now) + l.others.Reading) / prefillRate,
+		Duty:   (l.reading(now) + l.others.Reading) / fleet.ReadRate,
 		Absent: r.Unit.Adapter != "" && !runner.Holdings.Has(r.Unit),
 	}}
 	if w.Absent {
--- a/state/fleet/request.go
+++ b/state/fleet/request.go
@@ -12,6 +12,13 @@
 	Tokens int
 }
 
+const (
+	// ReadRate is the number of prompt tokens that a runner reads in a second; source: the users' sheets (38 a ms).
+	ReadRate = 38_000
+	// StepTime is the base time of a token; source: the users' sheets (4.4 to 5.2 ms).
+	StepTime = 5 * time.Millisecond
+)
+
 // Request is what a caller asks for, as far as decisions need it.
 type Request struct {
 	// ID is the caller's identifier of this attempt.
--- a/transport/consul/client.go
+++ b/transport/consul/client.go
@@ -142,8 +142,7 @@
 }
 
 func failedSwap(err error) keyvalue.Outcome {
-	var failed *httpcall.Error
-	if errors.As(err, &failed) && !failed.Sent() {
+	if !httpcall.WasSent(err) {
 		return keyvalue.NotSent
 	}
 	return keyvalue.Unknown
--- a/transport/engineapi/client.go
+++ b/transport/engineapi/client.go
@@ -86,8 +86,7 @@
 }
 
 func failed(err error) ledger.Result {
-	var call *httpcall.Error
-	if errors.As(err, &call) && !call.Sent() {
+	if !httpcall.WasSent(err) {
 		return ledger.Refused
 	}
 	return ledger.Unknown
--- a/transport/entry/run.go
+++ b/transport/entry/run.go
@@ -190,7 +190,7 @@
 }
 
 func (m *modelRun) failedCall(ctx context.Context, err error) lifecycle.Event {
-	sent := wasSent(err)
+	sent := httpcall.WasSent(err)
 	m.last = failedCall(ctx, m.endpoint.name, err)
 	m.last.lost = sent && ctx.Err() == nil
 	if !sent {
@@ -199,14 +199,9 @@
 	return lifecycle.Lost{}
 }
 
-func wasSent(err error) bool {
-	var call *httpcall.Error
-	return !errors.As(err, &call) || call.Sent()
-}
-
 // failedCall tells of a call that ended without an answer.
 func failedCall(ctx context.Context, endpoint string, err error) *failure {
-	sent := wasSent(err)
+	sent := httpcall.WasSent(err)
 	if ctx.Err() != nil {
 		return expired(ctx, sent)
 	}
--- a/transport/entry/service.go
+++ b/transport/entry/service.go
@@ -211,7 +211,7 @@
 
 func (s *serviceRun) failedCall(ctx context.Context, err error) lifecycle.Event {
 	s.last = failedCall(ctx, s.endpoint.name, err)
-	sent := wasSent(err)
+	sent := httpcall.WasSent(err)
 	s.ended(ctx.Err() == nil && (s.idempotent || !sent))
 	if !sent {
 		return lifecycle.Unreached{}
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -115,8 +115,7 @@
 
 func (x *exchange) failedCall(ctx context.Context, err error) lifecycle.Event {
 	now := clock.Now()
-	var failed *httpcall.Error
-	sent := !errors.As(err, &failed) || failed.Sent()
+	sent := httpcall.WasSent(err)
 	x.gateway.mu.Lock()
 	switch {
 	case ctx.Err() != nil:
--- a/transport/gateway/place.go
+++ b/transport/gateway/place.go
@@ -46,7 +46,7 @@
 		g.mu.Unlock()
 		verdict := admission.Verdict{Admit: true}
 		if ok && !x.machine.MayHaveRun() {
-			verdict = admission.Decide(now, &x.request, prospect(choice))
+			verdict = admission.Decide(now, &x.request, choice.Prospect())
 		}
 		switch {
 		case verdict.Hold:
@@ -99,10 +99,6 @@
 	return &lifecycle.NoneFree{Reason: "the request has crashed several endpoints", RetryAfter: wait}
 }
 
-func prospect(c dispatch.Choice) admission.Prospect {
-	return admission.Prospect{Wait: c.Wait, Duty: c.Duty, Unread: c.Unread, Backlog: c.Backlog}
-}
-
 // turnAway refuses a request that the best endpoint would serve too late.
 func (g *Gateway) turnAway(x *exchange, choice dispatch.Choice, verdict admission.Verdict) *lifecycle.NoneFree {
 	g.log.Emit(
--- a/transport/httpcall/error.go
+++ b/transport/httpcall/error.go
@@ -1,6 +1,10 @@
 package httpcall
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
 
 // Stage is the step of a call.
 type Stage string
@@ -27,3 +31,9 @@
 
 // Sent reports whether a byte of the request may have reached the endpoint.
 func (e *Error) Sent() bool { return e.Stage != StageDial }
+
+// WasSent reports whether a call that failed may have reached its endpoint; errors of other kinds count as sent.
+func WasSent(err error) bool {
+	var failed *Error
+	return !errors.As(err, &failed) || failed.Sent()
+}
