Hash the shared parts of a prompt once for each choice

Even before, the hashes were made anew for each runner.

Ruled out: a choice of its own beside the listing (two copies that must agree).

Change: the chains of a request's parts are made once and handed to all that need them.

--- a/state/dispatch/desk.go
+++ b/state/dispatch/desk.go
@@ -121,8 +121,8 @@
 	return best.Choice, best.Runner != nil
 }
 
-// wait predicts the time to the first byte of a request on a runner.
-func (d *Desk) wait(now time.Time, r *fleet.Request, runner *fleet.Runner, l *load, home bool) time.Duration {
+// wait predicts the time to the first byte of a request on a runner that must read some of its prompt.
+func (d *Desk) wait(now time.Time, r *fleet.Request, runner *fleet.Runner, l *load, unread int) time.Duration {
 	running := l.running + l.others.Running
 	if r.Unit.Model == "" {
 		waiting := max(0, running+1-max(1, runner.Slots))
@@ -130,7 +130,7 @@
 		return time.Duration(float64(work)*l.slow(now)) + time.Duration(running)*time.Millisecond
 	}
 	wait := fleet.StepTime + reading(l.ahead(rankOf(r.Rank))) + time.Duration(running)*runningCost
-	own := float64(reading(d.unread(now, r, runner.ID, home))) * d.Pace(r.Unit.Model)
+	own := float64(reading(unread)) * d.Pace(r.Unit.Model)
 	return time.Duration((float64(wait) + own) * l.slow(now))
 }
 
@@ -154,13 +154,11 @@
 	d.paces[model] = before + paceWeight*(ratio-before)
 }
 
-// unread returns the prompt tokens of a request that a runner is thought not to keep.
-func (d *Desk) unread(now time.Time, r *fleet.Request, runner string, home bool) int {
-	if home {
-		return r.PromptTokens - r.SharedTokens()
-	}
+// unread returns the prompt tokens of a request, with the chains of its shared parts, that a runner is thought not to
+// keep.
+func (d *Desk) unread(now time.Time, r *fleet.Request, chains []uint64, runner string) int {
 	kept := 0
-	for i, chain := range chains(r) {
+	for i, chain := range chains {
 		if at, ok := d.cached[chainKey{runner, chain}]; !ok || now.Sub(at) > cacheMemory {
 			break
 		}
@@ -192,10 +190,10 @@
 
 // home returns the runner on which all VMs expect a request's shared parts, by rendezvous hashing.
 // Source: Thaler and Ravishankar, "A name-based mapping scheme for rendezvous", 1996.
-func (d *Desk) home(r *fleet.Request, runners []*fleet.Runner) string {
+func (d *Desk) home(r *fleet.Request, chains []uint64, runners []*fleet.Runner) string {
 	key := xxhash.Sum64String(r.Unit.String())
-	if all := chains(r); len(all) > 0 && r.Unit.Adapter == "" {
-		key = all[len(all)-1]
+	if len(chains) > 0 && r.Unit.Adapter == "" {
+		key = chains[len(chains)-1]
 	}
 	best, bestWeight := "", uint64(0)
 	for _, runner := range runners {
@@ -228,8 +226,9 @@
 func (d *Desk) Sent(now time.Time, r *fleet.Request, choice Choice) *Ticket {
 	runner := choice.Runner.ID
 	l := d.load(runner)
+	parts := chains(r)
 	t := &Ticket{
-		Runner: runner, unread: d.unread(now, r, runner, false), rank: rankOf(r.Rank), sent: now,
+		Runner: runner, unread: d.unread(now, r, parts, runner), rank: rankOf(r.Rank), sent: now,
 		wait:  time.Duration(float64(choice.Wait) / l.slow(now)),
 		model: r.Unit.Model, clean: l.backlog() == 0,
 	}
@@ -242,7 +241,7 @@
 	if len(d.cached) > maxCached {
 		d.forget(now)
 	}
-	for _, chain := range chains(r) {
+	for _, chain := range parts {
 		d.cached[chainKey{runner, chain}] = now
 	}
 	return t
--- a/state/dispatch/weigh.go
+++ b/state/dispatch/weigh.go
@@ -52,7 +52,9 @@
 
 // scale is what the endpoints of one choice are measured against.
 type scale struct {
-	home string
+	// chains are those of the request's shared parts, and home is the runner on which they are expected.
+	chains []uint64
+	home   string
 	// failures is the least share of recent failures among them.
 	failures float64
 }
@@ -62,14 +64,18 @@
 	for _, runner := range usable {
 		least = min(least, d.load(runner.ID).failureShare(now))
 	}
-	return scale{home: d.home(r, usable), failures: least}
+	parts := chains(r)
+	return scale{chains: parts, home: d.home(r, parts, usable), failures: least}
 }
 
 func (d *Desk) weigh(now time.Time, r *fleet.Request, runner *fleet.Runner, s scale) Weighed {
 	l := d.load(runner.ID)
-	atHome := runner.ID == s.home
+	unread := r.PromptTokens - r.SharedTokens()
+	if runner.ID != s.home {
+		unread = d.unread(now, r, s.chains, runner.ID)
+	}
 	w := Weighed{Choice: Choice{
-		Runner: runner, Wait: d.wait(now, r, runner, l, atHome), Backlog: l.backlog(), Unread: d.unread(now, r, runner.ID, atHome),
+		Runner: runner, Wait: d.wait(now, r, runner, l, unread), Backlog: l.backlog(), Unread: unread,
 		Duty:   (l.reading(now) + l.others.Reading) / fleet.ReadRate,
 		Absent: r.Unit.Adapter != "" && !runner.Holdings.Has(r.Unit),
 	}}
