Remove what nothing reads

Cause: reading the change once more: a caller's stated time, the arrival of models at a runner, the number of candidates of a choice, the number of members in each exchange, a count of events, and of the platform's words the tokens in memory and the longest pause were kept up or decoded, and nothing read them. Holdings were copied by hand beside clone, what a VM hears of the store was noted in two places, and the path of a request was cut by a loop.

Ruled out: removing the runner's own count of its load and two times of the configuration's limits, which tests state.

Change: they are gone; Holdings uses clone and Without, hear and takeView share know, the renewal of a VM's key stands by itself.

No behaviour changes: unit tests under race detection pass; the platform's tests are untouched.

--- a/coordination/gathering/table.go
+++ b/coordination/gathering/table.go
@@ -109,12 +109,6 @@
 	}
 }
 
-// Members returns the number of VMs whose word counts.
-func (t *Table) Members(now time.Time) int {
-	t.live(now, func(string, *Word) {})
-	return len(t.words)
-}
-
 // sumTime is the time for which the sums of shares are used again.
 const sumTime = 100 * time.Millisecond
 
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -65,8 +65,6 @@
 	Moves map[string]orders.Move `cbor:"3,keyasint,omitempty"`
 	// Uses are those of other VMs at runners that the VM owns.
 	Uses []Use `cbor:"4,keyasint,omitempty"`
-	// Members is the number of VMs that take part.
-	Members int `cbor:"5,keyasint"`
 	// View is what has changed in the store, absent when the gathering VM does not know.
 	View *relay.View `cbor:"6,keyasint,omitempty"`
 	// Grace is the time in which runners that the view lacks may come back.
--- a/state/dispatch/desk.go
+++ b/state/dispatch/desk.go
@@ -98,8 +98,6 @@
 	Unread int
 	// Absent tells that the runner holds the model but not the adapter that is asked for.
 	Absent bool
-	// Candidates is the number of endpoints that could be chosen.
-	Candidates int
 }
 
 // Prospect returns what is predicted for the request on the endpoint.
@@ -117,7 +115,6 @@
 			best = w
 		}
 	}
-	best.Candidates = len(usable)
 	return best.Choice, best.Runner != nil
 }
 
--- a/state/fleet/order.go
+++ b/state/fleet/order.go
@@ -8,10 +8,8 @@
 	Holdings Holdings
 	Queued   int
 	Running  int
-	// MemoryUsed is the number of tokens in memory that cannot yield.
-	MemoryUsed int
-	InMemory   []string
-	OnDisk     []string
+	InMemory []string
+	OnDisk   []string
 }
 
 // Verb is what an order asks for.
--- a/state/orders/ledger.go
+++ b/state/orders/ledger.go
@@ -99,15 +99,12 @@
 // Holdings returns what the runner can serve: a model that is being unloaded is left out, and an adapter on its way is
 // not there yet. The holdings are the caller's own.
 func (l *Ledger) Holdings() fleet.Holdings {
-	served := fleet.Holdings{Busy: l.Busy()}
-	for _, held := range l.holdings.Models {
-		if held.Model == l.unloading {
-			continue
-		}
-		held.Adapters = slices.Clone(held.Adapters)
-		served.Models = append(served.Models, held)
+	served := clone(l.holdings)
+	served.Busy = l.Busy()
+	if l.unloading == "" {
+		return served
 	}
-	return served
+	return served.Without(fleet.Unit{Model: l.unloading})
 }
 
 // Reported takes in a report and reports whether it changed what is known. A report may be older than the last order,
--- a/state/routes/table.go
+++ b/state/routes/table.go
@@ -43,8 +43,6 @@
 	MaxRuns int
 	// Resumable streams may be continued on another endpoint.
 	Resumable bool
-	// MaxPause is the longest pause between events of a stream that is on time.
-	MaxPause time.Duration
 }
 
 // Repeatable reports whether a request may be sent again after it may have run.
@@ -66,10 +64,8 @@
 
 // Engine describes the model runners of a service.
 type Engine struct {
-	Slots int
-	// MemoryTokens is the number of tokens that a runner keeps for running requests and cached parts.
-	MemoryTokens int
-	Models       []Model
+	Slots  int
+	Models []Model
 	// MemoryMB is the memory of a runner for weights and adapters in megabytes.
 	MemoryMB     float64
 	AdapterSlots int
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -92,7 +93,6 @@
 	x := &exchange{
 		gateway: g, context: c, route: route, request: request, version: table.Version,
 		service: route.Pick(g.draw()),
-		stated:  wait,
 	}
 	g.mu.Lock()
 	budget := g.budget(x.service)
@@ -110,13 +110,8 @@
 
 // requestPath returns the path of a request as the caller sent it, without its query.
 func requestPath(c *app.RequestContext) string {
-	uri := string(c.Request.Header.RequestURI())
-	for i := range len(uri) {
-		if uri[i] == '?' {
-			return uri[:i]
-		}
-	}
-	return uri
+	path, _, _ := strings.Cut(string(c.Request.Header.RequestURI()), "?")
+	return path
 }
 
 func (g *Gateway) draw() float64 {
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -42,8 +42,6 @@
 	machine *lifecycle.Machine
 	// version is that of the configuration that routed the request.
 	version uint64
-	// stated is the time that the caller said it would wait, zero when it did not say.
-	stated time.Duration
 
 	choice dispatch.Choice
 	ticket *dispatch.Ticket
@@ -201,10 +199,11 @@
 }
 
 func (x *exchange) began() {
-	x.first = clock.Now().Sub(x.sent)
+	now := clock.Now()
+	x.first = now.Sub(x.sent)
 	x.gateway.mu.Lock()
 	defer x.gateway.mu.Unlock()
-	x.gateway.desk.Began(clock.Now(), x.ticket)
+	x.gateway.desk.Began(now, x.ticket)
 }
 
 func (x *exchange) ended(outcome dispatch.Outcome) {
--- a/transport/gateway/follow.go
+++ b/transport/gateway/follow.go
@@ -133,10 +133,15 @@
 	g.forgetAbsent(now, present)
 }
 
-// hear notes that everything up to a revision is known, as the store was asked for it; the lock must be held.
+// hear notes that the store told this VM everything up to a revision, as asked at a time; the lock must be held.
 func (g *Gateway) hear(asked time.Time, revision uint64) {
-	g.known = max(g.known, revision)
 	g.relay.Heard(asked, revision)
+	g.know(asked, revision)
+}
+
+// know notes that everything up to a revision is known, as this VM or another one asked for it; the lock must be held.
+func (g *Gateway) know(asked time.Time, revision uint64) {
+	g.known = max(g.known, revision)
 	if asked.After(g.heard) {
 		g.heard = asked
 	}
@@ -183,13 +188,8 @@
 		g.listed(now, present, grace)
 	}
 	g.dropped(g.directory.Expire(now))
-	g.known = max(g.known, v.Revision)
-	asked := now.Add(-v.Age)
 	g.relayed = now
-	if asked.After(g.heard) {
-		g.heard = asked
-	}
-	g.owners.Heard(asked)
+	g.know(now.Add(-v.Age), v.Revision)
 	if len(v.Items) > 0 {
 		g.announce()
 	}
--- a/transport/gateway/gather.go
+++ b/transport/gateway/gather.go
@@ -102,7 +102,7 @@
 		d.Uses = append(d.Uses, vm.Use{Runner: place.Runner, Unit: place.Unit, Age: age})
 	}
 	for id, o := range g.ordered {
-		if _, may := g.authority(now, id); may && o.ledger.Known() {
+		if _, may := g.owners.Authority(now, id); may && o.ledger.Known() {
 			d.Owned = append(d.Owned, g.owned(id, o))
 		}
 	}
@@ -131,7 +131,6 @@
 	g.gathered.Put(now, d.VM, word)
 	s := &vm.Summary{
 		Shares:   g.gathered.Shares(now, d.VM),
-		Members:  g.gathered.Members(now),
 		Moves:    make(map[string]orders.Move),
 		Gatherer: g.incarnation,
 		Grace:    max(0, g.graceUntil.Sub(now)),
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -54,23 +54,13 @@
 func (g *Gateway) register(ctx context.Context) error {
 	var lease uint64
 	return group.Every(ctx, renewInterval/4, func(time.Time) {
-		g.mu.Lock()
 		now := clock.Now()
+		g.mu.Lock()
 		registered, hears := g.owners.Registered(), g.owners.Hears(now)
 		g.mu.Unlock()
-		if lease != 0 && registered && now.Sub(g.renewed) < renewInterval {
-			return
-		}
-		if lease != 0 && registered && !hears {
-			return
-		}
 		if lease != 0 && registered {
-			err := g.store.Keep(ctx, lease)
-			if err == nil {
-				g.renewed = now
-			}
-			if errors.Is(err, platform.ErrNoLease) {
-				lease = 0
+			if hears && now.Sub(g.renewed) >= renewInterval {
+				lease = g.renew(ctx, now, lease)
 			}
 			return
 		}
@@ -87,6 +77,19 @@
 	})
 }
 
+// renew keeps the lease of the VM's key and returns it, or zero when it has ended. A renewal that fails otherwise is
+// tried again at the next look, and the loss of the store is told by the reading of it.
+func (g *Gateway) renew(ctx context.Context, now time.Time, lease uint64) uint64 {
+	err := g.store.Keep(ctx, lease)
+	switch {
+	case err == nil:
+		g.renewed = now
+	case errors.Is(err, platform.ErrNoLease):
+		return 0
+	}
+	return lease
+}
+
 func (g *Gateway) writeMember(ctx context.Context) (uint64, error) {
 	lease, _, err := g.store.Grant(ctx, leaseTime)
 	if err != nil {
@@ -269,11 +272,6 @@
 	return err == nil
 }
 
-// authority reports whether this VM may order a runner now, with the fencing number; the lock must be held.
-func (g *Gateway) authority(now time.Time, runner string) (uint64, bool) {
-	return g.owners.Authority(now, runner)
-}
-
 // engineOf returns the engine of a runner with the name of its service, or nil; the lock must be held.
 func (g *Gateway) engineOf(runner *fleet.Runner) *platformEngine {
 	table := g.table.Load()
--- a/transport/gateway/orders.go
+++ b/transport/gateway/orders.go
@@ -42,7 +42,6 @@
 	changed  chan struct{}
 	reported time.Time
 	tried    time.Time
-	since    map[string]time.Time
 }
 
 func (o *orderedRunner) wake() {
@@ -67,7 +66,6 @@
 		ledger:  orders.New(id, engine.engine),
 		kick:    make(chan struct{}, 1),
 		changed: make(chan struct{}),
-		since:   make(map[string]time.Time),
 	}
 	g.ordered[id] = o
 	g.run.Run("orders "+id, func(ctx context.Context) { g.orderRunner(ctx, id, o) })
@@ -102,7 +100,7 @@
 		return 0, false
 	}
 	engine := g.engineOf(runner)
-	fence, may := g.authority(now, id)
+	fence, may := g.owners.Authority(now, id)
 	if engine == nil || !may {
 		o.ledger.Forget()
 		g.mu.Unlock()
@@ -172,18 +170,7 @@
 
 // publish makes a ledger's change known to the requests of this VM; the lock must be held.
 func (g *Gateway) publish(now time.Time, id string, o *orderedRunner) {
-	holdings := o.ledger.Holdings()
-	for _, held := range holdings.Models {
-		if o.since[held.Model].IsZero() {
-			o.since[held.Model] = now
-		}
-	}
-	for model := range o.since {
-		if !holdings.Has(fleet.Unit{Model: model}) {
-			delete(o.since, model)
-		}
-	}
-	g.directory.Learn(id, o.ledger.Incarnation(), holdings, now)
+	g.directory.Learn(id, o.ledger.Incarnation(), o.ledger.Holdings(), now)
 	g.announce()
 	o.announce()
 }
@@ -239,7 +226,7 @@
 			g.mu.Unlock()
 			return vm.Owned{}, false, "not the owner"
 		}
-		if _, may := g.authority(now, runner); !may || !o.ledger.Known() {
+		if _, may := g.owners.Authority(now, runner); !may || !o.ledger.Known() {
 			g.mu.Unlock()
 			return vm.Owned{}, false, "no authority, or the runner's state is not known"
 		}
--- a/transport/gateway/relay.go
+++ b/transport/gateway/relay.go
@@ -38,7 +38,6 @@
 	// lastEvent is the identifier of the last event that was passed on.
 	lastEvent string
 	lastID    int64
-	events    int
 }
 
 func newEventRelay(c *app.RequestContext) *eventRelay {
@@ -116,7 +115,6 @@
 		r.lastID = id
 	}
 	r.lastEvent = text
-	r.events++
 	return true
 }
 
