Share the listing of sources and the store's troubles among tests

Two tests listed the sources of packages by the same command, two others had the same three faults of the link to the store.

--- a/integration/gateway_config_test.go
+++ b/integration/gateway_config_test.go
@@ -6,8 +6,6 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
-
-	"github.com/zinniaroute/zinniaroute/standin/proxy"
 )
 
 // applyTime is the time within which a configuration must be in force after the store has it; source: the sites' bound.
@@ -16,15 +14,7 @@
 // Trouble: the store refuses, or falls silent for, just the gateway that reads it for all others, and then a configuration
 // changes.
 func TestGatewaysApplyAConfigurationWhenTheirReaderLosesTheStore(t *testing.T) {
-	cases := []struct {
-		name   string
-		faults proxy.Faults
-	}{
-		{"cut", proxy.Faults{Cut: true}},
-		{"silent", proxy.Faults{Freeze: true}},
-		{"no answers", proxy.Faults{FreezeDown: true}},
-	}
-	for _, c := range cases {
+	for _, c := range storeTroubles {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			d := newDeployment(t)
--- a/integration/gateway_store_test.go
+++ b/integration/gateway_store_test.go
@@ -11,18 +11,20 @@
 	"github.com/zinniaroute/zinniaroute/standin/proxy"
 )
 
+// storeTroubles are the ways in which the link between a gateway and the store fails.
+var storeTroubles = []struct {
+	name   string
+	faults proxy.Faults
+}{
+	{"cut", proxy.Faults{Cut: true}},
+	{"silent", proxy.Faults{Freeze: true}},
+	{"no answers", proxy.Faults{FreezeDown: true}},
+}
+
 // A gateway that loses the store serves on with what it knows, and another one takes its runners over, also when its own
 // calls still reach the store.
 func TestGatewayServesOnWithoutTheStore(t *testing.T) {
-	cases := []struct {
-		name   string
-		faults proxy.Faults
-	}{
-		{"cut", proxy.Faults{Cut: true}},
-		{"silent", proxy.Faults{Freeze: true}},
-		{"no answers", proxy.Faults{FreezeDown: true}},
-	}
-	for _, c := range cases {
+	for _, c := range storeTroubles {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			d := newDeployment(t)
--- a/layers/metrics_test.go
+++ b/layers/metrics_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"os/exec"
 	"regexp"
 	"strings"
 	"testing"
@@ -16,14 +15,9 @@
 func TestMetricsAreOnTheOperatorsPage(t *testing.T) {
 	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	assert.NilError(t, err)
-	list := `{{$d := .Dir}}{{range .GoFiles}}{{$d}}/{{.}}{{"\n"}}{{end}}`
-	output, err := exec.Command("go", "list", "-f", list, "../...").Output()
-	assert.NilError(t, err)
 	found := 0
-	for _, name := range strings.Fields(string(output)) {
-		source, err := os.ReadFile(name)
-		assert.NilError(t, err)
-		for _, match := range metric.FindAllStringSubmatch(string(source), -1) {
+	for name, text := range sources(t, "../...") {
+		for _, match := range metric.FindAllStringSubmatch(text, -1) {
 			found++
 			assert.Check(t, strings.Contains(string(page), "`"+match[1]+"`"), "%s of %s", match[1], name)
 		}
