Log and count the crashes recorded for a request

When an endpoint ended under a request, the logs held only the id of that attempt, which differs on each retry, and nothing of the record kept for the request. Neither the crashes of one request on a VM nor what a VM learned from the others could be counted, so the hypotheses (late crashes count half; records of several VMs are lost; some ends are not seen) could not be told apart.

Event 512 gives the fingerprint, the runner, the time since the send and the score for each recorded crash, 513 a record that a complete answer dropped, 514 the start of a quarantine with the runners and the source that decided it. gatewayCrashRecords counts them. No decision changes.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -154,6 +154,21 @@
 		[]string{"request", "print", "waitMs"},
 		"Find its caller by the request id.",
 	}
+	EndpointEnded = Event{
+		512, logrus.InfoLevel, "endpoint ended the connection during a request; the request may have crashed it",
+		[]string{"request", "print", "runner", "sinceSendMs", "score", "error"},
+		"Lines with the same print belong to one request and its retries. If several runners end under it, find its caller.",
+	}
+	CrashRecordDropped = Event{
+		513, logrus.InfoLevel, "crashes recorded for a request dropped: an endpoint completed it",
+		[]string{"request", "print", "runner"},
+		"Nothing.",
+	}
+	QuarantineStarted = Event{
+		514, logrus.WarnLevel, "request quarantined: several endpoints ended while they ran it",
+		[]string{"print", "score", "runners", "source"},
+		"Find its caller by the lines of event 512 with the same print.",
+	}
 	RegistrationFailed = Event{
 		408, logrus.WarnLevel, "membership key of the VM could not be written; the write is retried",
 		[]string{"error"},
@@ -256,7 +271,8 @@
 		RunnerEntryChanged, RunnerEntryUnreadable,
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined,
 		RequestServed, RequestNotServed, LogLinesDropped,
-		RequestRefusedStopping, RequestRejected, RequestQuarantined, SettingsReloaded, RegistrationFailed, MemberChanged,
+		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
+		CrashRecordDropped, QuarantineStarted, SettingsReloaded, RegistrationFailed, MemberChanged,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- a/state/quarantine/tracker.go
+++ b/state/quarantine/tracker.go
@@ -37,12 +37,15 @@
 	Endpoints []string `cbor:"4,keyasint,omitempty" json:"endpoints,omitempty"`
 }
 
-// Key returns the fingerprint in hexadecimal.
-func (s Suspicion) Key() string {
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string {
 	const base = 16
-	return strconv.FormatUint(uint64(s.Fingerprint), base)
+	return strconv.FormatUint(uint64(f), base)
 }
 
+// Key returns the fingerprint in hexadecimal.
+func (s Suspicion) Key() string { return s.Fingerprint.String() }
+
 // Version returns a number that grows with each crash: the time of the latest crash in nanoseconds.
 func (s Suspicion) Version() uint64 { return uint64(s.LastCrashAt.UnixNano()) }
 
@@ -107,35 +110,45 @@
 	}
 }
 
-// RecordCompleted records a complete response, which removes the suspicion unless the request is quarantined.
-func (t *Tracker) RecordCompleted(f Fingerprint, endpoint string) {
+// RecordCompleted records a complete response, which removes the suspicion unless the request is quarantined. It reports
+// whether it removed one.
+func (t *Tracker) RecordCompleted(f Fingerprint, endpoint string) bool {
 	t.EndProbation(f, endpoint)
-	if s, ok := t.suspicions[f]; ok && s.Score < quarantineScore {
-		delete(t.suspicions, f)
-		delete(t.unreported, f)
+	s, ok := t.suspicions[f]
+	if !ok || s.Score >= quarantineScore {
+		return false
 	}
+	delete(t.suspicions, f)
+	delete(t.unreported, f)
+	return true
 }
 
-// RecordCrash records that an endpoint crashed while it ran a request; early means soon after the request was sent.
-func (t *Tracker) RecordCrash(now time.Time, f Fingerprint, endpoint string, early bool) {
+// RecordCrash records that an endpoint crashed while it ran a request; early means soon after the request was sent. It
+// returns the request's suspicion.
+func (t *Tracker) RecordCrash(now time.Time, f Fingerprint, endpoint string, early bool) Suspicion {
 	t.EndProbation(f, endpoint)
 	s := t.unexpired(now, f)
 	if slices.Contains(s.Endpoints, endpoint) && now.Sub(s.LastCrashAt) < sameCrashWindow {
-		return
+		return s
 	}
 	added := lateCrashScore
 	if early {
 		added = earlyCrashScore
 	}
-	t.store(Suspicion{
+	s = Suspicion{
 		Fingerprint: f,
 		Score:       s.Score + added,
 		LastCrashAt: now,
 		Endpoints:   append(slices.Clone(s.Endpoints), endpoint),
-	})
+	}
+	t.store(s)
 	t.unreported[f] = true
+	return s
 }
 
+// Quarantined reports whether the request is refused.
+func (s Suspicion) Quarantined() bool { return s.Score >= quarantineScore }
+
 // store replaces the suspicion of a request. If the request is quarantined, store removes each suspicion with a score
 // below delayScore whose crashes it explains.
 func (t *Tracker) store(s Suspicion) {
@@ -177,13 +190,21 @@
 	return unreported
 }
 
-// Merge merges the suspicions of peers. For each request it keeps the higher score; it ignores expired ones.
-func (t *Tracker) Merge(now time.Time, suspicions []Suspicion) {
+// Merge merges the suspicions of peers. For each request it keeps the higher score; it ignores expired ones. It returns
+// the suspicions that are quarantined because of it.
+func (t *Tracker) Merge(now time.Time, suspicions []Suspicion) []Suspicion {
+	var quarantined []Suspicion
 	for _, s := range suspicions {
-		if now.Sub(s.LastCrashAt) < SuspicionTTL && s.Score > t.unexpired(now, s.Fingerprint).Score {
-			t.store(s)
+		known := t.unexpired(now, s.Fingerprint)
+		if now.Sub(s.LastCrashAt) >= SuspicionTTL || s.Score <= known.Score {
+			continue
+		}
+		t.store(s)
+		if s.Quarantined() && !known.Quarantined() {
+			quarantined = append(quarantined, s)
 		}
 	}
+	return quarantined
 }
 
 // Recent returns the suspicions whose latest crash is not older than age, sorted by fingerprint.
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -139,7 +139,7 @@
 		Aggregator:    g.incarnation,
 		Grace:         max(0, g.graceUntil.Sub(now)),
 	}
-	g.suspects.Merge(now, received.Suspicions)
+	g.logQuarantines(received.VM, g.suspects.Merge(now, received.Suspicions)...)
 	s.Suspicions = g.suspects.Recent(now, maxSuspicionAge)
 	if view, ok := g.storeLog.Since(now, received.SyncedRevision, maxViewAge); ok && received.VM != g.settings.Name {
 		s.View = &view
@@ -183,7 +183,7 @@
 		g.lastViewAt = time.Time{}
 	}
 	g.aggregatorIncarnation, g.receivedChanges = s.Aggregator, s.SentChanges
-	g.suspects.Merge(now, s.Suspicions)
+	g.logQuarantines("aggregator", g.suspects.Merge(now, s.Suspicions)...)
 	for _, runner := range g.directory.All() {
 		g.scheduler.SetOtherLoad(runner.ID, s.EndpointLoads[runner.ID])
 	}
--- a/transport/gateway/endpoint.go
+++ b/transport/gateway/endpoint.go
@@ -99,7 +99,9 @@
 	if retryAfter <= 0 {
 		return nil
 	}
-	g.log.Emit(eventlog.RequestQuarantined, x.request.ID, x.request.Fingerprint, retryAfter.Milliseconds())
+	crashRecords.Add("refused", 1)
+	fingerprint := quarantine.Fingerprint(x.request.Fingerprint)
+	g.log.Emit(eventlog.RequestQuarantined, x.request.ID, fingerprint.String(), retryAfter.Milliseconds())
 	return &lifecycle.NoEndpoint{Reason: "the request has crashed several endpoints", RetryAfter: retryAfter}
 }
 
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -143,8 +143,24 @@
 	if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 		return
 	}
-	early := now.Sub(x.sentAt) < earlyCrashWindow
-	x.gateway.suspects.RecordCrash(now, quarantine.Fingerprint(x.request.Fingerprint), x.choice.Runner.ID, early)
+	g, fingerprint, sinceSend := x.gateway, quarantine.Fingerprint(x.request.Fingerprint), now.Sub(x.sentAt)
+	refused := g.suspects.RetryAfter(now, fingerprint) > 0
+	suspicion := g.suspects.RecordCrash(now, fingerprint, x.choice.Runner.ID, sinceSend < earlyCrashWindow)
+	crashRecords.Add("recorded", 1)
+	g.log.Emit(
+		eventlog.EndpointEnded, x.request.ID, suspicion.Key(), x.choice.Runner.ID, sinceSend.Milliseconds(), suspicion.Score, err,
+	)
+	if suspicion.Quarantined() && !refused {
+		g.logQuarantines("this VM", suspicion)
+	}
+}
+
+// logQuarantines logs and counts requests that are now quarantined, with the source of the record that decided it.
+func (g *Gateway) logQuarantines(source string, suspicions ...quarantine.Suspicion) {
+	for _, s := range suspicions {
+		crashRecords.Add("quarantined", 1)
+		g.log.Emit(eventlog.QuarantineStarted, s.Key(), s.Score, s.Endpoints, source)
+	}
 }
 
 // earlyCrashWindow is the time after the send within which a request that crashes its endpoint does so.
@@ -154,7 +170,11 @@
 func (x *exchange) recordCompleted() {
 	x.gateway.mu.Lock()
 	defer x.gateway.mu.Unlock()
-	x.gateway.suspects.RecordCompleted(quarantine.Fingerprint(x.request.Fingerprint), x.choice.Runner.ID)
+	fingerprint := quarantine.Fingerprint(x.request.Fingerprint)
+	if x.gateway.suspects.RecordCompleted(fingerprint, x.choice.Runner.ID) {
+		crashRecords.Add("dropped", 1)
+		x.gateway.log.Emit(eventlog.CrashRecordDropped, x.request.ID, fingerprint.String(), x.choice.Runner.ID)
+	}
 }
 
 func (x *exchange) handleResponse(ctx context.Context) lifecycle.Event {
--- a/transport/gateway/metrics.go
+++ b/transport/gateway/metrics.go
@@ -24,6 +24,9 @@
 	notServedByCause = expvar.NewMap("gatewayNotServed")
 	ordersSent       = expvar.NewMap("gatewayOrders")
 	latencies        = expvar.NewMap("gatewayLatency")
+	// crashRecords counts by event: crashes recorded here, records dropped after a complete answer, requests quarantined,
+	// and requests refused because of it.
+	crashRecords = expvar.NewMap("gatewayCrashRecords")
 )
 
 // histogram is a histogram of durations that is safe for concurrent use.
