Add a failing test: a request that crashes runners late keeps reaching them

Three gateways, six runners, one caller that sends a request in turn to the gateways; each runner that runs it crashes. If it crashes at once, the request is refused after the third. If it crashes 2.2 s into the run, runners get it more than three times later than 3 s after the third crash: nine had crashed when the test stopped.

The runner stand-in can crash late, silently and under a new id, and ends all its connections when it does.

--- a/integration/gateway_harness_test.go
+++ b/integration/gateway_harness_test.go
@@ -145,11 +145,28 @@
 	ctx, cancel := context.WithCancel(d.group.Context())
 	d.heartbeats[options.ID] = cancel
 	d.group.Run("heartbeat", func(context.Context) {
-		_ = group.Every(ctx, 300*time.Millisecond, func(time.Time) { d.store.Put(caller.RunnerKeys+options.ID, runner.Entry()) })
+		d.writeHeartbeats(ctx, runner)
 	})
 	return runner
 }
 
+// writeHeartbeats writes the runner's entry every 300 ms while the runner is up, and removes the entry of an incarnation
+// that returned under another ID.
+func (d *deployment) writeHeartbeats(ctx context.Context, runner *modelrunner.Runner) {
+	written := ""
+	_ = group.Every(ctx, 300*time.Millisecond, func(time.Time) {
+		if runner.Down() {
+			return
+		}
+		id := runner.ID()
+		if written != "" && written != id {
+			d.store.Remove(caller.RunnerKeys + written)
+		}
+		d.store.Put(caller.RunnerKeys+id, runner.Entry())
+		written = id
+	})
+}
+
 const settingsText = `{
   "name": %q, "domain": "a", "address": "127.0.0.1", "callers": %q, "readiness": %q, "ports": [%d, %d],
   "store": %q, "memoryMB": 256,
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -68,6 +68,8 @@
 	ResumeAfter string
 	// Cancelled means that the caller disconnected before the end.
 	Cancelled bool
+	// At is the time at which the run began.
+	At time.Time
 }
 
 // Order is an order that a runner has accepted.
@@ -94,18 +96,20 @@
 	truncateAfter   int
 	pendingFailures int
 	draining        bool
-	// crashBody is the body of requests that crash the runner. The runner is then down for crashDowntime.
-	crashBody       string
+	crash           Crash
+	crashes         []time.Time
 	unsealedAnswers int
 	downUntil       time.Time
+	// crashed is closed when the present incarnation crashes.
+	crashed chan struct{}
 }
 
-// crashDowntime is the time for which a runner is down after a crash.
-const crashDowntime = 2 * time.Second
-
 // New returns a runner with the models of the options loaded.
 func New(options Options) *Runner {
-	return &Runner{options: options, models: slices.Clone(options.Models), startedAtMS: time.Now().UnixMilli(), truncateAfter: -1}
+	return &Runner{
+		options: options, models: slices.Clone(options.Models), startedAtMS: time.Now().UnixMilli(), truncateAfter: -1,
+		crashed: make(chan struct{}),
+	}
 }
 
 // Start serves on the listener in the group.
@@ -154,28 +158,6 @@
 	r.truncateAfter = events
 }
 
-// CrashOn makes the runner crash on requests with this body.
-func (r *Runner) CrashOn(body string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.crashBody = body
-}
-
-// crashesOn reports whether the runner is down or crashes on this request. A request that crashes it counts as a run.
-func (r *Runner) crashesOn(now time.Time, c *app.RequestContext) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if now.Before(r.downUntil) {
-		return true
-	}
-	if r.crashBody == "" || string(c.Request.Body()) != r.crashBody {
-		return false
-	}
-	r.runs = append(r.runs, Run{Attempt: string(c.GetHeader(headerAttempt)), Body: r.crashBody})
-	r.downUntil = now.Add(crashDowntime)
-	return true
-}
-
 // OmitSeals omits the signature from a number of answers.
 func (r *Runner) OmitSeals(answers int) {
 	r.mu.Lock()
@@ -214,7 +196,7 @@
 
 func (r *Runner) rejectMisdirected(c *app.RequestContext) bool {
 	target := string(c.GetHeader(headerTarget))
-	if target == "" || target == r.options.ID {
+	if target == "" || target == r.ID() {
 		return false
 	}
 	c.SetStatusCode(statusMisdirected)
@@ -330,7 +312,7 @@
 	}
 	r.runs = append(r.runs, Run{
 		Attempt: string(c.GetHeader(headerAttempt)), Path: string(c.Request.Header.RequestURI()),
-		Body: string(c.Request.Body()), ResumeAfter: string(c.GetHeader(headerLastEventID)),
+		Body: string(c.Request.Body()), ResumeAfter: string(c.GetHeader(headerLastEventID)), At: time.Now(),
 	})
 	if r.unsealedAnswers > 0 {
 		r.unsealedAnswers--
@@ -353,10 +335,12 @@
 	if r.rejectMisdirected(c) {
 		return
 	}
-	if r.crashesOn(time.Now(), c) {
-		_ = c.GetConn().Close()
+	if r.endsRun(c) {
 		return
 	}
+	r.mu.Lock()
+	crashed := r.crashed
+	r.mu.Unlock()
 	index, truncateAfter, ok := r.beginRun(c)
 	if !ok {
 		return
@@ -378,6 +362,12 @@
 			_ = c.GetConn().Close()
 			return
 		}
+		select {
+		case <-crashed:
+			r.disconnect(c)
+			return
+		default:
+		}
 		if !group.Sleep(ctx, r.options.Pause) {
 			r.mu.Lock()
 			r.runs[index].Cancelled = true
