Refuse a request after three early or four crashes, whenever the runs end

Callers' retries of a request that crashes runners kept reaching runners after it had ended three.

Cause: a crash counted as early, with two points of the six that a quarantine needs, only within 2 s after the send. A request that waits in a runner's queue, or crashes it after a long prefill, got one point for each runner, so six ended before it was refused. The rule allows three, and three retries after them.

Early now means before the request made progress: before the first byte of the answer or within 2 s after it, at an entry before three tokens. A request is refused after three early crashes, or four of any kind. Three late ones do not suffice, because a request that only ran beside the cause of three crashes had made progress each time.

TestRequestIsRefusedAfterThreeEarlyOrFourCrashes replaces TestRequestIsRefusedFromScoreSix: a request with an early and three late crashes, or with four late ones, is refused where it was not; one with three late crashes is still allowed.

TestRequestThatCrashesEnginesIsQuarantined failed once in two runs of this commit: a request that only ran beside the culprit was refused.

--- a/state/quarantine/tracker.go
+++ b/state/quarantine/tracker.go
@@ -8,15 +8,18 @@
 )
 
 const (
-	// A crash adds earlyCrashScore or lateCrashScore to the score of each request on the endpoint. A crash soon after
-	// the request was sent counts more, since the request is more likely its cause.
+	// A crash adds earlyCrashScore or lateCrashScore to the score of each request on the endpoint. A crash before the
+	// request made progress counts more, since the request is more likely its cause.
 	earlyCrashScore = 2
 	lateCrashScore  = 1
 	// delayScore is the score from which a request is delayed by a random time before it runs again. The delay keeps it
 	// from running beside another request, possibly of another entry, that may be the cause of the crashes.
 	delayScore = 4
-	// quarantineScore is the score from which a request is refused.
+	// quarantineScore is the score from which a request is refused: three early crashes.
 	quarantineScore = 6
+	// maxCrashes is the number of crashes from which a request is refused at any score. A request that only ran beside the
+	// cause of three crashes, and had made progress each time, is not refused.
+	maxCrashes = 4
 	// SuspicionTTL is the time after the latest crash at which a score expires and a quarantined request is allowed again.
 	SuspicionTTL = 10 * time.Minute
 	// sameCrashWindow is the time after a request's latest crash in which a crash of an endpoint that is already listed
@@ -70,7 +73,7 @@
 // RetryAfter returns the time until the quarantine of a request ends, or zero when the request is not quarantined.
 func (t *Tracker) RetryAfter(now time.Time, f Fingerprint) time.Duration {
 	s := t.unexpired(now, f)
-	if s.Score < quarantineScore {
+	if !s.Quarantined() {
 		return 0
 	}
 	return s.LastCrashAt.Add(SuspicionTTL).Sub(now)
@@ -115,7 +118,7 @@
 func (t *Tracker) RecordCompleted(f Fingerprint, endpoint string) bool {
 	t.EndProbation(f, endpoint)
 	s, ok := t.suspicions[f]
-	if !ok || s.Score >= quarantineScore {
+	if !ok || s.Quarantined() {
 		return false
 	}
 	delete(t.suspicions, f)
@@ -123,7 +126,7 @@
 	return true
 }
 
-// RecordCrash records that an endpoint crashed while it ran a request; early means soon after the request was sent. It
+// RecordCrash records that an endpoint crashed while it ran a request; early means before the request made progress. It
 // returns the request's suspicion.
 func (t *Tracker) RecordCrash(now time.Time, f Fingerprint, endpoint string, early bool) Suspicion {
 	t.EndProbation(f, endpoint)
@@ -147,13 +150,15 @@
 }
 
 // Quarantined reports whether the request is refused.
-func (s Suspicion) Quarantined() bool { return s.Score >= quarantineScore }
+func (s Suspicion) Quarantined() bool {
+	return s.Score >= quarantineScore || len(s.Endpoints) >= maxCrashes
+}
 
 // store replaces the suspicion of a request. If the request is quarantined, store removes each suspicion with a score
 // below delayScore whose crashes it explains.
 func (t *Tracker) store(s Suspicion) {
 	t.suspicions[s.Fingerprint] = s
-	if s.Score < quarantineScore {
+	if !s.Quarantined() {
 		return
 	}
 	for f, other := range t.suspicions {
--- a/state/quarantine/tracker_test.go
+++ b/state/quarantine/tracker_test.go
@@ -14,7 +14,7 @@
 
 var start = time.Unix(1_000_000, 0)
 
-func TestRequestIsRefusedFromScoreSix(t *testing.T) {
+func TestRequestIsRefusedAfterThreeEarlyOrFourCrashes(t *testing.T) {
 	cases := []struct {
 		name      string
 		crashes   []bool
@@ -24,8 +24,10 @@
 		{name: "one early crash", crashes: []bool{true}},
 		{name: "two early crashes", crashes: []bool{true, true}},
 		{name: "three early crashes", crashes: []bool{true, true, true}, refused: true},
-		{name: "an early and three late crashes", crashes: []bool{true, false, false, false}},
-		{name: "six late crashes", crashes: []bool{false, false, false, false, false, false}, refused: true},
+		{name: "an early and two late crashes", crashes: []bool{true, false, false}},
+		{name: "an early and three late crashes", crashes: []bool{true, false, false, false}, refused: true},
+		{name: "three late crashes", crashes: []bool{false, false, false}},
+		{name: "four late crashes", crashes: []bool{false, false, false, false}, refused: true},
 		{name: "cleared by finishing", crashes: []bool{true, false}, completed: true},
 	}
 	for _, tc := range cases {
--- a/transport/entry/quarantine.go
+++ b/transport/entry/quarantine.go
@@ -13,9 +13,6 @@
 const (
 	// probationTokens is the number of tokens from an endpoint after which the probation of a suspect ends.
 	probationTokens = 3
-	// earlyCrashWindow is the time after sending in which a crash of the endpoint counts as early. The request is less
-	// likely to have caused a later crash.
-	earlyCrashWindow = 2 * time.Second
 	// suspectPollInterval is the interval at which a waiting suspect looks for an endpoint that runs no other suspect.
 	suspectPollInterval = 20 * time.Millisecond
 	// maxRandomDelay is the upper limit of the random delay of a request with several crashes.
--- a/transport/entry/run.go
+++ b/transport/entry/run.go
@@ -122,7 +122,7 @@
 	case completed:
 		table.recordCompleted(m.fingerprint, m.endpoint.name)
 	case m.lastFailure != nil && m.lastFailure.connectionLost && ctx.Err() == nil:
-		table.recordCrash(now, m.fingerprint, m.endpoint.name, !m.probationEnded && now.Sub(m.sentAt) < earlyCrashWindow)
+		table.recordCrash(now, m.fingerprint, m.endpoint.name, !m.probationEnded)
 		m.entry.suspicionsChanged.Offer(struct{}{})
 	default:
 		table.endProbation(m.fingerprint, m.endpoint.name)
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -50,6 +50,8 @@
 	body   []byte
 	relay  *eventRelay
 	sentAt time.Time
+	// answeredAt is when the first byte of the present answer arrived.
+	answeredAt time.Time
 	// firstByteLatency is the time from the last send to the first byte of the answer.
 	firstByteLatency time.Duration
 }
@@ -88,7 +90,7 @@
 	g.mu.Lock()
 	x.inFlight = g.scheduler.RecordSent(now, &x.request, x.choice)
 	g.mu.Unlock()
-	x.sentAt = now
+	x.sentAt, x.answeredAt = now, time.Time{}
 	send := platform.RequestHeaders{
 		Runner:  x.choice.Runner.ID,
 		Timeout: x.request.Deadline.Sub(now) - deadlineMargin,
@@ -145,7 +147,8 @@
 	}
 	g, fingerprint, sinceSend := x.gateway, quarantine.Fingerprint(x.request.Fingerprint), now.Sub(x.sentAt)
 	refused := g.suspects.RetryAfter(now, fingerprint) > 0
-	suspicion := g.suspects.RecordCrash(now, fingerprint, x.choice.Runner.ID, sinceSend < earlyCrashWindow)
+	early := x.answeredAt.IsZero() || now.Sub(x.answeredAt) < progressTime
+	suspicion := g.suspects.RecordCrash(now, fingerprint, x.choice.Runner.ID, early)
 	crashRecords.Add("recorded", 1)
 	g.log.Emit(
 		eventlog.EndpointEnded, x.request.ID, suspicion.Key(), x.choice.Runner.ID, sinceSend.Milliseconds(), suspicion.Score, err,
@@ -163,8 +166,8 @@
 	}
 }
 
-// earlyCrashWindow is the time after the send within which a request that crashes its endpoint does so.
-const earlyCrashWindow = 2 * time.Second
+// progressTime is the time after the first byte of an answer from which a crash no longer counts as early.
+const progressTime = 2 * time.Second
 
 // recordCompleted records that the endpoint completed its answer, which ends a suspicion against the request.
 func (x *exchange) recordCompleted() {
@@ -222,7 +225,7 @@
 
 func (x *exchange) recordFirstByte() {
 	now := clock.Now()
-	x.firstByteLatency = now.Sub(x.sentAt)
+	x.answeredAt, x.firstByteLatency = now, now.Sub(x.sentAt)
 	x.gateway.mu.Lock()
 	defer x.gateway.mu.Unlock()
 	x.gateway.scheduler.RecordFirstByte(now, x.inFlight)
