--- a/coordination/dissemination/table.go
+++ b/coordination/dissemination/table.go
@@ -61,6 +61,9 @@
 
 // ChangedSince returns the records stored after a value of the change counter, sorted by key, and its present value.
 func (t *Table[R]) ChangedSince(since uint64) ([]R, uint64) {
+	if since == t.changes {
+		return nil, t.changes
+	}
 	var records []R
 	for _, held := range t.rows {
 		if held.changeNumber > since {
--- a/protocol/peer/messages.go
+++ b/protocol/peer/messages.go
@@ -23,19 +23,21 @@
 
 // ExchangeRequest holds digests of the sender's records, by which the peer selects the records that the sender lacks.
 type ExchangeRequest struct {
-	Sender     membership.Member      `cbor:"1,keyasint"`
-	Members    []dissemination.Digest `cbor:"2,keyasint,omitempty"`
-	Runners    []dissemination.Digest `cbor:"3,keyasint,omitempty"`
-	Demands    []dissemination.Digest `cbor:"4,keyasint,omitempty"`
-	Suspicions []dissemination.Digest `cbor:"5,keyasint,omitempty"`
+	Sender  membership.Member      `cbor:"1,keyasint"`
+	Members []dissemination.Digest `cbor:"2,keyasint,omitempty"`
+	Runners []dissemination.Digest `cbor:"3,keyasint,omitempty"`
+	Demands []dissemination.Digest `cbor:"4,keyasint,omitempty"`
+	// Crashes is number 6; number 5 is not used again.
+	Crashes []dissemination.Digest `cbor:"6,keyasint,omitempty"`
 }
 
 // ExchangeResponse holds the records that the requester lacks.
 type ExchangeResponse struct {
-	Members    []membership.Member     `cbor:"1,keyasint,omitempty"`
-	Runners    []residency.RunnerState `cbor:"2,keyasint,omitempty"`
-	Demands    []residency.Demand      `cbor:"3,keyasint,omitempty"`
-	Suspicions []quarantine.Suspicion  `cbor:"5,keyasint,omitempty"`
+	Members []membership.Member     `cbor:"1,keyasint,omitempty"`
+	Runners []residency.RunnerState `cbor:"2,keyasint,omitempty"`
+	Demands []residency.Demand      `cbor:"3,keyasint,omitempty"`
+	// Crashes is number 6; number 5 is not used again.
+	Crashes []quarantine.Crash `cbor:"6,keyasint,omitempty"`
 	// Revision is the catalog revision of the peer. The requester fetches the catalog if its own revision is lower.
 	Revision uint64 `cbor:"4,keyasint"`
 }
@@ -57,21 +59,22 @@
 	Chunks []CatalogChunk `cbor:"2,keyasint,omitempty"`
 }
 
-// FollowRequest subscribes an entry to the catalog, the runners and the suspicions of a control and to their changes.
+// FollowRequest subscribes an entry to the catalog, the runners and the crash records of a control and to their changes.
 type FollowRequest struct {
 	Entry string `cbor:"1,keyasint"`
 	// Revision is the catalog revision of the entry.
 	Revision uint64 `cbor:"2,keyasint"`
 }
 
-// FollowUpdate holds the changes since the previous update. The first update holds all runners and suspicions.
+// FollowUpdate holds the changes since the previous update. The first update holds all runners and crash records.
 type FollowUpdate struct {
 	// Catalog is the whole catalog, or nil if the entry has its revision already.
 	Catalog *CatalogResponse        `cbor:"1,keyasint,omitempty"`
 	Runners []residency.RunnerState `cbor:"2,keyasint,omitempty"`
 	// Revision is the catalog revision of the control.
-	Revision   uint64                 `cbor:"3,keyasint"`
-	Suspicions []quarantine.Suspicion `cbor:"4,keyasint,omitempty"`
+	Revision uint64 `cbor:"3,keyasint"`
+	// Crashes is number 5; number 4 is not used again.
+	Crashes []quarantine.Crash `cbor:"5,keyasint,omitempty"`
 }
 
 // ReportRequest reports the demand that an entry has measured for each unit, and the catalog revision that it uses.
@@ -86,8 +89,9 @@
 
 // SuspectRequest reports requests during which endpoints failed. It is sent at once, not with the next exchange.
 type SuspectRequest struct {
-	Suspicions []quarantine.Suspicion `cbor:"1,keyasint"`
-	// ForwardToPeers asks the control to forward the suspicions to its peers.
+	// Crashes is number 3; number 1 is not used again.
+	Crashes []quarantine.Crash `cbor:"3,keyasint"`
+	// ForwardToPeers asks the control to forward the crash records to its peers.
 	ForwardToPeers bool `cbor:"2,keyasint,omitempty"`
 }
 
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -52,8 +52,10 @@
 	// it had sent by then.
 	Aggregator      string `cbor:"7,keyasint,omitempty"`
 	ReceivedChanges uint64 `cbor:"8,keyasint,omitempty"`
-	// Suspicions holds the requests during which endpoints have failed since the previous report.
-	Suspicions []quarantine.Suspicion `cbor:"9,keyasint,omitempty"`
+	// Crashes holds the changes of crash records that the aggregator lacks. ReceivedCrashes is the number of changes that
+	// it had sent by the answer before. Number 9 is not used again.
+	Crashes         []quarantine.Crash `cbor:"10,keyasint,omitempty"`
+	ReceivedCrashes uint64             `cbor:"11,keyasint,omitempty"`
 }
 
 // Summary is the aggregator's answer to a VM.
@@ -74,8 +76,10 @@
 	// sent so far.
 	Aggregator  string `cbor:"8,keyasint"`
 	SentChanges uint64 `cbor:"9,keyasint"`
-	// Suspicions holds the recent suspicions of all VMs.
-	Suspicions []quarantine.Suspicion `cbor:"10,keyasint,omitempty"`
+	// Crashes holds the changes of crash records that the VM lacks, and SentCrashes is the number of changes sent so far.
+	// Number 10 is not used again.
+	Crashes     []quarantine.Crash `cbor:"11,keyasint,omitempty"`
+	SentCrashes uint64             `cbor:"12,keyasint,omitempty"`
 }
 
 // AdapterRequest asks the owner of a runner to load an adapter on it.
--- /dev/null
+++ b/state/quarantine/crash.go
@@ -0,0 +1,59 @@
+package quarantine
+
+import (
+	"strconv"
+	"time"
+)
+
+// Fingerprint is a hash of the content of a request, equal for its retries.
+type Fingerprint uint64
+
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string {
+	const base = 16
+	return strconv.FormatUint(uint64(f), base)
+}
+
+// Crash records that an endpoint ended while it ran a request. Records of several VMs add up: each VM adds its own, and
+// merging is a union by Key.
+type Crash struct {
+	Fingerprint Fingerprint `cbor:"1,keyasint" json:"fingerprint"`
+	Endpoint    string      `cbor:"2,keyasint" json:"endpoint"`
+	// Incarnation distinguishes the starts of an endpoint under one name. It is zero where they are not told apart.
+	Incarnation int64 `cbor:"3,keyasint,omitempty" json:"incarnation,omitempty"`
+	// SentAt and EndedAt bound the run, by the clock of the VM that sent the request.
+	SentAt  time.Time `cbor:"4,keyasint" json:"sentAt"`
+	EndedAt time.Time `cbor:"5,keyasint" json:"endedAt"`
+	// Early means that the endpoint ended before the request had made progress, so the request is a likely cause.
+	Early bool `cbor:"6,keyasint,omitempty" json:"early,omitempty"`
+	// Cleared means that another endpoint has completed the request since.
+	Cleared bool `cbor:"7,keyasint,omitempty" json:"cleared,omitempty"`
+}
+
+// Key identifies the run that the crash ended.
+func (c Crash) Key() string {
+	const base = 10
+	return c.Fingerprint.String() + "/" + c.Endpoint + "/" + strconv.FormatInt(c.SentAt.UnixNano(), base)
+}
+
+// Version is higher for a cleared crash, so that clearing replaces the crash on every VM.
+func (c Crash) Version() uint64 {
+	if c.Cleared {
+		return 2
+	}
+	return 1
+}
+
+// sameCrashWindow is the time between two ends of runs within which they count as one crash of an incarnation. While an
+// endpoint is down, a proxy in front of it may accept requests and close the connection.
+const sameCrashWindow = 5 * time.Second
+
+// same reports whether two records count as one crash: runs on one incarnation that overlapped in time, or that ended
+// within sameCrashWindow.
+func (c Crash) same(other Crash) bool {
+	if c.Endpoint != other.Endpoint || c.Incarnation != other.Incarnation {
+		return false
+	}
+	overlapped := !c.SentAt.After(other.EndedAt) && !other.SentAt.After(c.EndedAt)
+	return overlapped || c.EndedAt.Sub(other.EndedAt).Abs() < sameCrashWindow
+}
--- a/state/quarantine/tracker.go
+++ b/state/quarantine/tracker.go
@@ -3,13 +3,12 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
+	"strings"
 	"time"
 )
 
 const (
-	// A crash adds earlyCrashScore or lateCrashScore to the score of each request on the endpoint. A crash before the
-	// request made progress counts more, since the request is more likely its cause.
+	// A crash adds earlyCrashScore or lateCrashScore to the score of each request that the endpoint ran.
 	earlyCrashScore = 2
 	lateCrashScore  = 1
 	// delayScore is the score from which a request is delayed by a random time before it runs again. The delay keeps it
@@ -20,77 +19,105 @@
 	// maxCrashes is the number of crashes from which a request is refused at any score. A request that only ran beside the
 	// cause of three crashes, and had made progress each time, is not refused.
 	maxCrashes = 4
-	// SuspicionTTL is the time after the latest crash at which a score expires and a quarantined request is allowed again.
+	// maxRecordsPerRequest bounds the records of one request. It exceeds maxCrashes by the runs of concurrent retries.
+	maxRecordsPerRequest = 32
+	// SuspicionTTL is the time after the latest crash at which its record expires and a quarantined request is allowed
+	// again.
 	SuspicionTTL = 10 * time.Minute
-	// sameCrashWindow is the time after a request's latest crash in which a crash of an endpoint that is already listed
-	// counts as the same crash.
-	sameCrashWindow = 5 * time.Second
 )
 
-// Fingerprint is a hash of the content of a request, equal for its retries.
-type Fingerprint uint64
-
-// Suspicion is the crash record of one request.
+// Suspicion sums up the crashes of one request.
 type Suspicion struct {
-	Fingerprint Fingerprint `cbor:"1,keyasint" json:"fingerprint"`
-	Score       int         `cbor:"2,keyasint" json:"score"`
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Score       int         `json:"score"`
 	// LastCrashAt is the time of the latest crash.
-	LastCrashAt time.Time `cbor:"3,keyasint" json:"at"`
-	// Endpoints lists the endpoints that crashed while they ran the request, the latest last.
-	Endpoints []string `cbor:"4,keyasint,omitempty" json:"endpoints,omitempty"`
+	LastCrashAt time.Time `json:"at"`
+	// Endpoints lists the endpoints that crashed while they ran the request, in the order of the crashes.
+	Endpoints []string `json:"endpoints,omitempty"`
 }
 
-// String returns the fingerprint in hexadecimal.
-func (f Fingerprint) String() string {
-	const base = 16
-	return strconv.FormatUint(uint64(f), base)
+// Quarantined reports whether the request is refused.
+func (s Suspicion) Quarantined() bool {
+	return s.Score >= quarantineScore || len(s.Endpoints) >= maxCrashes
 }
 
-// Key returns the fingerprint in hexadecimal.
-func (s Suspicion) Key() string { return s.Fingerprint.String() }
-
-// Version returns a number that grows with each crash: the time of the latest crash in nanoseconds.
-func (s Suspicion) Version() uint64 { return uint64(s.LastCrashAt.UnixNano()) }
-
-// Tracker holds the suspicions that one entry or gateway knows. It is not safe for concurrent use.
+// Tracker holds the crashes that one entry or gateway knows. It is not safe for concurrent use.
 type Tracker struct {
-	suspicions map[Fingerprint]Suspicion
+	crashes map[Fingerprint][]Crash
 	// probation maps an endpoint to the suspect that runs on it and may still crash it.
 	probation map[string]Fingerprint
-	// unreported holds the suspicions that changed here and have not been sent to the peers.
-	unreported map[Fingerprint]bool
+	// unreported holds the records that were made here and have not reached a peer, by key.
+	unreported map[string]Crash
 }
 
-// NewTracker returns a tracker without suspicions.
+// NewTracker returns a tracker without crashes.
 func NewTracker() *Tracker {
 	return &Tracker{
-		suspicions: make(map[Fingerprint]Suspicion),
+		crashes:    make(map[Fingerprint][]Crash),
 		probation:  make(map[string]Fingerprint),
-		unreported: make(map[Fingerprint]bool),
+		unreported: make(map[string]Crash),
 	}
 }
 
 // RetryAfter returns the time until the quarantine of a request ends, or zero when the request is not quarantined.
 func (t *Tracker) RetryAfter(now time.Time, f Fingerprint) time.Duration {
-	s := t.unexpired(now, f)
+	s := t.Suspicion(now, f)
 	if !s.Quarantined() {
 		return 0
 	}
 	return s.LastCrashAt.Add(SuspicionTTL).Sub(now)
 }
 
-func (t *Tracker) unexpired(now time.Time, f Fingerprint) Suspicion {
-	s, ok := t.suspicions[f]
-	if ok && now.Sub(s.LastCrashAt) >= SuspicionTTL {
-		delete(t.suspicions, f)
-		return Suspicion{}
+// Suspicion sums up the crashes of a request that are neither expired nor cleared, each counted once.
+func (t *Tracker) Suspicion(now time.Time, f Fingerprint) Suspicion {
+	s := Suspicion{Fingerprint: f}
+	var counted []Crash
+	for _, c := range t.crashes[f] {
+		if c.Cleared || expired(now, c) || slices.ContainsFunc(counted, c.same) {
+			continue
+		}
+		counted = append(counted, c)
+		s.Endpoints = append(s.Endpoints, c.Endpoint)
+		s.LastCrashAt = c.EndedAt
+		s.Score += lateCrashScore
+		if c.Early {
+			s.Score += earlyCrashScore - lateCrashScore
+		}
 	}
 	return s
 }
 
-// IsSuspect reports whether a request has a crash on record. Two such requests must not run on one endpoint
-// at the same time.
-func (t *Tracker) IsSuspect(now time.Time, f Fingerprint) bool { return t.unexpired(now, f).Score > 0 }
+func expired(now time.Time, c Crash) bool { return now.Sub(c.EndedAt) >= SuspicionTTL }
+
+// IsSuspect reports whether a request has a crash on record that no quarantined request explains. Two such requests must
+// not run on one endpoint at the same time.
+func (t *Tracker) IsSuspect(now time.Time, f Fingerprint) bool {
+	s := t.Suspicion(now, f)
+	return len(s.Endpoints) > 0 && !t.explained(now, s)
+}
+
+// explained reports whether one quarantined request ran on all endpoints that crashed under a request with few crashes.
+func (t *Tracker) explained(now time.Time, s Suspicion) bool {
+	if s.Score >= delayScore {
+		return false
+	}
+	for f := range t.crashes {
+		if other := t.Suspicion(now, f); f != s.Fingerprint && other.Quarantined() && other.covers(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// covers reports whether s lists every endpoint of the other suspicion.
+func (s Suspicion) covers(other Suspicion) bool {
+	for _, endpoint := range other.Endpoints {
+		if !slices.Contains(s.Endpoints, endpoint) {
+			return false
+		}
+	}
+	return true
+}
 
 // RunsSuspect reports whether an endpoint runs a suspect that is on probation.
 func (t *Tracker) RunsSuspect(endpoint string) bool {
@@ -113,125 +140,127 @@
 	}
 }
 
-// RecordCompleted records a complete response, which removes the suspicion unless the request is quarantined. It reports
-// whether it removed one.
-func (t *Tracker) RecordCompleted(f Fingerprint, endpoint string) bool {
+// RecordCompleted records a complete response, which clears the crashes of the request unless it is quarantined. It
+// returns the cleared records.
+func (t *Tracker) RecordCompleted(now time.Time, f Fingerprint, endpoint string) []Crash {
 	t.EndProbation(f, endpoint)
-	s, ok := t.suspicions[f]
-	if !ok || s.Quarantined() {
-		return false
+	if t.Suspicion(now, f).Quarantined() {
+		return nil
 	}
-	delete(t.suspicions, f)
-	delete(t.unreported, f)
-	return true
-}
-
-// RecordCrash records that an endpoint crashed while it ran a request; early means before the request made progress. It
-// returns the request's suspicion.
-func (t *Tracker) RecordCrash(now time.Time, f Fingerprint, endpoint string, early bool) Suspicion {
-	t.EndProbation(f, endpoint)
-	s := t.unexpired(now, f)
-	if slices.Contains(s.Endpoints, endpoint) && now.Sub(s.LastCrashAt) < sameCrashWindow {
-		return s
-	}
-	added := lateCrashScore
-	if early {
-		added = earlyCrashScore
-	}
-	s = Suspicion{
-		Fingerprint: f,
-		Score:       s.Score + added,
-		LastCrashAt: now,
-		Endpoints:   append(slices.Clone(s.Endpoints), endpoint),
-	}
-	t.store(s)
-	t.unreported[f] = true
-	return s
-}
-
-// Quarantined reports whether the request is refused.
-func (s Suspicion) Quarantined() bool {
-	return s.Score >= quarantineScore || len(s.Endpoints) >= maxCrashes
+	var cleared []Crash
+	for i, c := range t.crashes[f] {
+		if c.Cleared {
+			continue
+		}
+		c.Cleared = true
+		t.crashes[f][i] = c
+		t.unreported[c.Key()] = c
+		cleared = append(cleared, c)
+	}
+	return cleared
 }
 
-// store replaces the suspicion of a request. If the request is quarantined, store removes each suspicion with a score
-// below delayScore whose crashes it explains.
-func (t *Tracker) store(s Suspicion) {
-	t.suspicions[s.Fingerprint] = s
-	if !s.Quarantined() {
-		return
-	}
-	for f, other := range t.suspicions {
-		if other.Score < delayScore && s.explains(other) {
-			delete(t.suspicions, f)
-			delete(t.unreported, f)
-		}
+// RecordCrash records a crash that this VM observed, and returns the suspicion of its request.
+func (t *Tracker) RecordCrash(now time.Time, c Crash) Suspicion {
+	t.EndProbation(c.Fingerprint, c.Endpoint)
+	if t.put(now, c) {
+		t.unreported[c.Key()] = c
 	}
+	return t.Suspicion(now, c.Fingerprint)
 }
 
-// explains reports whether s lists every endpoint of the other suspicion.
-func (s Suspicion) explains(other Suspicion) bool {
-	for _, endpoint := range other.Endpoints {
-		if !slices.Contains(s.Endpoints, endpoint) {
+// put stores a record in the order of the crashes, unless the same or a later version of it is known.
+func (t *Tracker) put(now time.Time, c Crash) bool {
+	if expired(now, c) {
+		return false
+	}
+	known := t.crashes[c.Fingerprint]
+	if i := slices.IndexFunc(known, func(k Crash) bool { return k.Key() == c.Key() }); i >= 0 {
+		if known[i].Version() >= c.Version() {
 			return false
 		}
+		known[i] = c
+		return true
+	}
+	if len(known) >= maxRecordsPerRequest {
+		return false
 	}
+	known = append(known, c)
+	slices.SortStableFunc(known, func(a, b Crash) int {
+		return cmp.Or(a.EndedAt.Compare(b.EndedAt), strings.Compare(a.Key(), b.Key()))
+	})
+	t.crashes[c.Fingerprint] = known
 	return true
 }
 
 // NeedsRandomDelay reports whether a request must be delayed by a random time before it runs.
 func (t *Tracker) NeedsRandomDelay(now time.Time, f Fingerprint) bool {
-	return t.unexpired(now, f).Score >= delayScore
+	return t.Suspicion(now, f).Score >= delayScore
 }
 
-// TakeUnreported returns the suspicions that crashes seen here changed since the last call, sorted by fingerprint.
-func (t *Tracker) TakeUnreported() []Suspicion {
-	unreported := make([]Suspicion, 0, len(t.unreported))
-	for f := range t.unreported {
-		unreported = append(unreported, t.suspicions[f])
+// Unreported returns the records that were made or cleared here and have not reached a peer, sorted by key.
+func (t *Tracker) Unreported() []Crash {
+	unreported := make([]Crash, 0, len(t.unreported))
+	for _, c := range t.unreported {
+		unreported = append(unreported, c)
 	}
-	clear(t.unreported)
-	slices.SortFunc(unreported, compare)
+	slices.SortFunc(unreported, func(a, b Crash) int { return strings.Compare(a.Key(), b.Key()) })
 	return unreported
 }
 
-// Merge merges the suspicions of peers. For each request it keeps the higher score; it ignores expired ones. It returns
-// the suspicions that are quarantined because of it.
-func (t *Tracker) Merge(now time.Time, suspicions []Suspicion) []Suspicion {
+// RecordReported records that a peer has received records. A record that has been cleared since stays unreported.
+func (t *Tracker) RecordReported(crashes []Crash) {
+	for _, c := range crashes {
+		if t.unreported[c.Key()].Version() == c.Version() {
+			delete(t.unreported, c.Key())
+		}
+	}
+}
+
+// Merge adds the records of peers, and returns the suspicions that are quarantined because of it.
+func (t *Tracker) Merge(now time.Time, crashes []Crash) []Suspicion {
 	var quarantined []Suspicion
-	for _, s := range suspicions {
-		known := t.unexpired(now, s.Fingerprint)
-		if now.Sub(s.LastCrashAt) >= SuspicionTTL || s.Score <= known.Score {
+	for _, c := range crashes {
+		before := t.Suspicion(now, c.Fingerprint).Quarantined()
+		if !t.put(now, c) || before {
 			continue
 		}
-		t.store(s)
-		if s.Quarantined() && !known.Quarantined() {
+		if s := t.Suspicion(now, c.Fingerprint); s.Quarantined() {
 			quarantined = append(quarantined, s)
 		}
 	}
 	return quarantined
 }
 
-// Recent returns the suspicions whose latest crash is not older than age, sorted by fingerprint.
-func (t *Tracker) Recent(now time.Time, age time.Duration) []Suspicion {
-	var recent []Suspicion
-	for _, s := range t.suspicions {
-		if now.Sub(s.LastCrashAt) <= age {
-			recent = append(recent, s)
+// Crashes returns the records of a request that are not cleared.
+func (t *Tracker) Crashes(now time.Time, f Fingerprint) []Crash {
+	return slices.DeleteFunc(slices.Clone(t.crashes[f]), func(c Crash) bool { return c.Cleared || expired(now, c) })
+}
+
+// Expire removes the records whose time has passed.
+func (t *Tracker) Expire(now time.Time) {
+	for f, crashes := range t.crashes {
+		crashes = slices.DeleteFunc(crashes, func(c Crash) bool { return expired(now, c) })
+		t.crashes[f] = crashes
+		if len(crashes) == 0 {
+			delete(t.crashes, f)
+		}
+	}
+	for key, c := range t.unreported {
+		if expired(now, c) {
+			delete(t.unreported, key)
 		}
 	}
-	slices.SortFunc(recent, compare)
-	return recent
 }
 
 // All returns the suspicions sorted by fingerprint.
-func (t *Tracker) All() []Suspicion {
-	all := make([]Suspicion, 0, len(t.suspicions))
-	for _, s := range t.suspicions {
-		all = append(all, s)
+func (t *Tracker) All(now time.Time) []Suspicion {
+	var all []Suspicion
+	for f := range t.crashes {
+		if s := t.Suspicion(now, f); len(s.Endpoints) > 0 {
+			all = append(all, s)
+		}
 	}
-	slices.SortFunc(all, compare)
+	slices.SortFunc(all, func(a, b Suspicion) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return all
 }
-
-func compare(a, b Suspicion) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) }
--- a/state/quarantine/tracker_test.go
+++ b/state/quarantine/tracker_test.go
@@ -14,6 +14,11 @@
 
 var start = time.Unix(1_000_000, 0)
 
+// crash returns the record of a run of two seconds that ended with its endpoint.
+func crash(f Fingerprint, endpoint string, endedAt time.Time, early bool) Crash {
+	return Crash{Fingerprint: f, Endpoint: endpoint, SentAt: endedAt.Add(-2 * time.Second), EndedAt: endedAt, Early: early}
+}
+
 func TestRequestIsRefusedAfterThreeEarlyOrFourCrashes(t *testing.T) {
 	cases := []struct {
 		name      string
@@ -34,10 +39,11 @@
 		t.Run(tc.name, func(t *testing.T) {
 			tracker := NewTracker()
 			for i, early := range tc.crashes {
-				tracker.RecordCrash(start.Add(time.Duration(i)*time.Second), 7, string(rune('a'+i)), early)
+				at := start.Add(time.Duration(i) * time.Second)
+				tracker.RecordCrash(at, crash(7, string(rune('a'+i)), at, early))
 			}
 			if tc.completed {
-				tracker.RecordCompleted(7, "z")
+				assert.Equal(t, len(tracker.RecordCompleted(start, 7, "z")), len(tc.crashes))
 				assert.Assert(t, !tracker.IsSuspect(start, 7))
 			}
 			assert.Equal(t, tracker.RetryAfter(start.Add(time.Minute), 7) > 0, tc.refused)
@@ -48,31 +54,93 @@
 
 func TestRepeatedCrashOfOneEndpointCountsOnce(t *testing.T) {
 	tracker := NewTracker()
-	for range 5 {
-		tracker.RecordCrash(start, 7, "a", true)
+	for i := range 5 {
+		c := crash(7, "a", start, true)
+		c.SentAt = c.SentAt.Add(time.Duration(i) * time.Millisecond)
+		tracker.RecordCrash(start, c)
 	}
+	assert.Equal(t, len(tracker.Suspicion(start, 7).Endpoints), 1)
 	assert.Equal(t, tracker.RetryAfter(start, 7), time.Duration(0))
 }
 
-func TestMergedSuspicionsOfPeersAddUp(t *testing.T) {
+func TestCrashesOfOneEndpointInQuickSuccession(t *testing.T) {
+	cases := []struct {
+		name        string
+		incarnation func(i int) int64
+		pause       time.Duration
+		counted     int
+	}{
+		{"restarted each time", func(i int) int64 { return int64(i) }, time.Second, 3},
+		{"down, and a proxy closes the connections", func(int) int64 { return 1 }, time.Second, 1},
+		{"restarted unnoticed after some seconds", func(int) int64 { return 1 }, 6 * time.Second, 3},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			tracker := NewTracker()
+			now := start
+			for i := range 3 {
+				endedAt := now.Add(100 * time.Millisecond)
+				tracker.RecordCrash(endedAt, Crash{
+					Fingerprint: 7, Endpoint: "a", Incarnation: tc.incarnation(i), SentAt: now, EndedAt: endedAt, Early: true,
+				})
+				now = now.Add(tc.pause)
+			}
+			assert.Equal(t, len(tracker.Suspicion(now, 7).Endpoints), tc.counted)
+			assert.Equal(t, tracker.RetryAfter(now, 7) > 0, tc.counted >= 3)
+		})
+	}
+}
+
+func TestCrashesSeenByDifferentPeersAddUp(t *testing.T) {
+	trackers := []*Tracker{NewTracker(), NewTracker(), NewTracker()}
+	for i, tracker := range trackers {
+		tracker.RecordCrash(start, crash(7, string(rune('a'+i)), start, true))
+	}
+	for _, tracker := range trackers[1:] {
+		unreported := tracker.Unreported()
+		assert.Equal(t, len(unreported), 1)
+		assert.Equal(t, len(tracker.Unreported()), 1, "a record is unreported until a peer has received it")
+		tracker.RecordReported(unreported)
+		assert.Equal(t, len(tracker.Unreported()), 0)
+		assert.Assert(t, trackers[0].RetryAfter(start, 7) == 0)
+		trackers[0].Merge(start, unreported)
+		trackers[0].Merge(start, unreported)
+	}
+	assert.Assert(t, trackers[0].RetryAfter(start, 7) > 0)
+}
+
+func TestMergedCrashesOfPeersAddUp(t *testing.T) {
+	first, second := NewTracker(), NewTracker()
+	first.RecordCrash(start, crash(7, "a", start, true))
+	second.Merge(start, first.Unreported())
+	assert.Equal(t, len(second.Unreported()), 0, "records of peers are not reported again")
+	next := start.Add(time.Second)
+	second.RecordCrash(next, crash(7, "b", next, true))
+	assert.Assert(t, second.NeedsRandomDelay(next, 7))
+	last := start.Add(2 * time.Second)
+	second.RecordCrash(last, crash(7, "c", last, true))
+	assert.Assert(t, second.RetryAfter(last, 7) > 0)
+}
+
+func TestClearedCrashStaysClearedAfterMerge(t *testing.T) {
 	first, second := NewTracker(), NewTracker()
-	first.RecordCrash(start, 7, "a", true)
-	unreported := first.TakeUnreported()
-	assert.Equal(t, len(unreported), 1)
-	assert.Equal(t, len(first.TakeUnreported()), 0)
-	second.Merge(start, unreported)
-	second.RecordCrash(start.Add(time.Second), 7, "b", true)
-	assert.Assert(t, second.NeedsRandomDelay(start.Add(time.Second), 7))
-	second.RecordCrash(start.Add(2*time.Second), 7, "c", true)
-	assert.Assert(t, second.RetryAfter(start.Add(2*time.Second), 7) > 0)
+	first.RecordCrash(start, crash(7, "a", start, true))
+	open := first.Unreported()
+	second.Merge(start, open)
+	second.RecordCompleted(start, 7, "b")
+	first.Merge(start, second.Unreported())
+	assert.Assert(t, !first.IsSuspect(start, 7))
+	first.Merge(start, open)
+	assert.Assert(t, !first.IsSuspect(start, 7))
 }
 
 func TestQuarantineClearsSuspicionsItExplains(t *testing.T) {
 	tracker := NewTracker()
-	tracker.RecordCrash(start, 8, "a", true)
-	tracker.RecordCrash(start, 9, "z", true)
+	tracker.RecordCrash(start, crash(8, "a", start, true))
+	tracker.RecordCrash(start, crash(9, "z", start, true))
 	for i, endpoint := range []string{"a", "b", "c"} {
-		tracker.RecordCrash(start.Add(time.Duration(i)*time.Second), 7, endpoint, true)
+		at := start.Add(time.Duration(i) * time.Second)
+		tracker.RecordCrash(at, crash(7, endpoint, at, true))
 	}
 	assert.Assert(t, !tracker.IsSuspect(start, 8))
 	assert.Assert(t, tracker.IsSuspect(start, 9))
@@ -98,17 +166,17 @@
 			// An innocent request on the endpoint can be new only at the first crash.
 			for f := range running {
 				if rapid.Bool().Draw(t, "beside") {
-					tracker.RecordCrash(now, f, endpoint, attempt == 0 && rapid.Bool().Draw(t, "fresh"))
+					tracker.RecordCrash(now, crash(f, endpoint, now, attempt == 0 && rapid.Bool().Draw(t, "fresh")))
 				}
 			}
-			tracker.RecordCrash(now, culprit, endpoint, true)
+			tracker.RecordCrash(now, crash(culprit, endpoint, now, true))
 			crashes++
 			for f := range running {
 				if tracker.RetryAfter(now, f) > 0 {
-					t.Fatalf("innocent request %d is refused: %+v", f, tracker.All())
+					t.Fatalf("innocent request %d is refused: %+v", f, tracker.All(now))
 				}
 				if rapid.Bool().Draw(t, "finishes") {
-					tracker.RecordCompleted(f, endpoint)
+					tracker.RecordCompleted(now, f, endpoint)
 				}
 			}
 		}
--- a/transport/control/gossip.go
+++ b/transport/control/gossip.go
@@ -55,7 +55,7 @@
 			self.Term = term
 		})
 		c.shared.demands.Expire(now.Add(-demandTTL))
-		c.shared.suspicions.Expire(now.Add(-quarantine.SuspicionTTL))
+		c.shared.crashes.Expire(now.Add(-quarantine.SuspicionTTL))
 	})
 }
 
@@ -107,7 +107,7 @@
 		request.Members = c.shared.view.Members.Digests()
 		request.Runners = c.shared.runners.Digests()
 		request.Demands = c.shared.demands.Digests()
-		request.Suspicions = c.shared.suspicions.Digests()
+		request.Crashes = c.shared.crashes.Digests()
 	})
 	client := c.peerClient(address)
 	response, err := rpc.Call[peer.ExchangeRequest, peer.ExchangeResponse](
@@ -135,8 +135,8 @@
 		for _, demand := range response.Demands {
 			c.shared.demands.Put(now, demand)
 		}
-		for _, suspicion := range response.Suspicions {
-			changed = c.shared.suspicions.Put(now, suspicion) || changed
+		for _, crash := range response.Crashes {
+			changed = c.shared.crashes.Put(now, crash) || changed
 		}
 		if changed {
 			c.shared.notify()
@@ -185,7 +185,7 @@
 		c.shared.view.Merge(now, request.Sender)
 		response.Members = c.shared.view.Members.NewerThan(request.Members)
 		response.Runners = c.shared.runners.NewerThan(request.Runners)
-		response.Suspicions = c.shared.suspicions.NewerThan(request.Suspicions)
+		response.Crashes = c.shared.crashes.NewerThan(request.Crashes)
 		if request.Sender.Domain == c.settings.Process.Domain {
 			response.Demands = c.shared.demands.NewerThan(request.Demands)
 		}
--- a/transport/control/serve.go
+++ b/transport/control/serve.go
@@ -27,7 +27,7 @@
 	return mux
 }
 
-// handleFollow sends an entry the catalog, the runners and the suspicions, and then each change. If nothing changes, it
+// handleFollow sends an entry the catalog, the runners and the crash records, and then each change. If nothing changes, it
 // sends an empty update after each gossipInterval.
 func (c *Control) handleFollow(
 	ctx context.Context,
@@ -35,14 +35,14 @@
 	send func(*peer.FollowUpdate) error,
 ) error {
 	sentRevision := request.Revision
-	var change, suspicionChange uint64
+	var change, crashChange uint64
 	for {
 		update := &peer.FollowUpdate{Revision: c.shared.revision()}
 		var wake chan struct{}
 		c.shared.withLock(func() {
 			wake = c.shared.changed
 			update.Runners, change = c.shared.runners.ChangedSince(change)
-			update.Suspicions, suspicionChange = c.shared.suspicions.ChangedSince(suspicionChange)
+			update.Crashes, crashChange = c.shared.crashes.ChangedSince(crashChange)
 		})
 		if update.Revision > sentRevision {
 			update.Catalog = c.shared.catalogFor(nil)
@@ -77,18 +77,18 @@
 
 func (c *Control) handleSuspect(_ context.Context, request *peer.SuspectRequest) (*peer.SuspectResponse, error) {
 	now := time.Now()
-	if c.mergeSuspicions(now, request.Suspicions) && request.ForwardToPeers {
-		c.spreadSuspicions(now, request.Suspicions)
+	if c.mergeCrashes(now, request.Crashes) && request.ForwardToPeers {
+		c.spreadCrashes(now, request.Crashes)
 	}
 	return &peer.SuspectResponse{}, nil
 }
 
-// mergeSuspicions merges suspicions and reports whether any of them is new.
-func (c *Control) mergeSuspicions(now time.Time, suspicions []quarantine.Suspicion) bool {
+// mergeCrashes merges crash records and reports whether any of them is new.
+func (c *Control) mergeCrashes(now time.Time, crashes []quarantine.Crash) bool {
 	changed := false
 	c.shared.withLock(func() {
-		for _, suspicion := range suspicions {
-			changed = c.shared.suspicions.Put(now, suspicion) || changed
+		for _, crash := range crashes {
+			changed = c.shared.crashes.Put(now, crash) || changed
 		}
 		if changed {
 			c.shared.notify()
@@ -97,17 +97,17 @@
 	return changed
 }
 
-// spreadSuspicions sends suspicions to all live peers without waiting for gossip, because the caller may retry the
+// spreadCrashes sends crash records to all live peers without waiting for gossip, because the caller may retry the
 // request through another entry before gossip reaches it.
-func (c *Control) spreadSuspicions(now time.Time, suspicions []quarantine.Suspicion) {
-	request := &peer.SuspectRequest{Suspicions: suspicions}
+func (c *Control) spreadCrashes(now time.Time, crashes []quarantine.Crash) {
+	request := &peer.SuspectRequest{Crashes: crashes}
 	var live []membership.Member
 	c.shared.withLock(func() { live = c.shared.view.Live(now, "") })
 	for _, member := range live {
 		if member.Name == c.settings.Process.Name {
 			continue
 		}
-		c.group.Run("spread suspicions", func(ctx context.Context) {
+		c.group.Run("spread crash records", func(ctx context.Context) {
 			client := c.peerClient(member.Address)
 			_, _ = rpc.Call[peer.SuspectRequest, peer.SuspectResponse](ctx, client, peer.CallSuspect, request, exchangeTimeout)
 		})
--- a/transport/control/shared.go
+++ b/transport/control/shared.go
@@ -25,15 +25,15 @@
 
 // sharedState is the state that the goroutines of a control share.
 type sharedState struct {
-	mu         sync.Mutex
-	view       *membership.View
-	runners    *dissemination.Table[residency.RunnerState]
-	demands    *dissemination.Table[residency.Demand]
-	suspicions *dissemination.Table[quarantine.Suspicion]
-	catalog    *activeCatalog
+	mu      sync.Mutex
+	view    *membership.View
+	runners *dissemination.Table[residency.RunnerState]
+	demands *dissemination.Table[residency.Demand]
+	crashes *dissemination.Table[quarantine.Crash]
+	catalog *activeCatalog
 	// storedChunks holds the stored form of the catalog's chunks by digest.
 	storedChunks map[string][]byte
-	// changed is closed when a runner, a suspicion or the catalog changes.
+	// changed is closed when a runner, a crash record or the catalog changes.
 	changed chan struct{}
 	// drainingRunners holds the names of the runners that the VM list reports as leaving.
 	drainingRunners map[string]bool
@@ -44,7 +44,7 @@
 		view:            membership.NewView(now, self, membership.DefaultTimeouts()),
 		runners:         dissemination.NewTable[residency.RunnerState](),
 		demands:         dissemination.NewTable[residency.Demand](),
-		suspicions:      dissemination.NewTable[quarantine.Suspicion](),
+		crashes:         dissemination.NewTable[quarantine.Crash](),
 		catalog:         &activeCatalog{index: catalog.NewIndex(&catalog.Set{}), assignment: &placement.Assignment{}},
 		storedChunks:    make(map[string][]byte),
 		changed:         make(chan struct{}),
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -52,8 +52,8 @@
 
 	retryBudget *sharedBudget
 
-	// suspicionsChanged wakes the task that reports new suspicions to the control.
-	suspicionsChanged *ring.Queue[struct{}]
+	// crashesChanged wakes the task that reports new crash records to the control.
+	crashesChanged *ring.Queue[struct{}]
 
 	controlAddress atomic.Pointer[netip.AddrPort]
 	controlLost    atomic.Bool
@@ -68,15 +68,15 @@
 // New returns an entry that has not started.
 func New(now time.Time, s settings.Entry, log *eventlog.Log) *Entry {
 	return &Entry{
-		settings:          s,
-		log:               log,
-		http:              httpcall.NewClient(dialTimeout),
-		table:             newTable(s.Process.Domain, uint64(now.UnixNano())),
-		demand:            newDemand(now),
-		retryBudget:       &sharedBudget{budget: routing.NewRetryBudget(now)},
-		suspicionsChanged: ring.New[struct{}](1),
-		startedAt:         now,
-		stopRequested:     make(chan struct{}),
+		settings:       s,
+		log:            log,
+		http:           httpcall.NewClient(dialTimeout),
+		table:          newTable(s.Process.Domain, uint64(now.UnixNano())),
+		demand:         newDemand(now),
+		retryBudget:    &sharedBudget{budget: routing.NewRetryBudget(now)},
+		crashesChanged: ring.New[struct{}](1),
+		startedAt:      now,
+		stopRequested:  make(chan struct{}),
 	}
 }
 
@@ -92,7 +92,7 @@
 	server.Start(g, "entry operations")
 	g.Start("follow", e.follow)
 	g.Start("report", e.report)
-	g.Start("spread suspicions", e.spreadSuspicions)
+	g.Start("spread crash records", e.spreadCrashes)
 	e.log.Emit(eventlog.ProcessStarted, "entry", callers.Addr().String(), ops.Addr().String())
 }
 
@@ -216,7 +216,7 @@
 		InFlight:   e.inFlight.Load(),
 		Stopping:   e.stopping.Load(),
 		Endpoints:  e.table.states(now),
-		Suspicions: e.table.suspicions(),
+		Suspicions: e.table.suspicions(now),
 	}
 	if address := e.controlAddress.Load(); address != nil {
 		state.Control = address.String()
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -60,7 +60,7 @@
 		}
 	}
 	e.table.applyRunnerStates(update.Runners)
-	e.table.mergeSuspicions(time.Now(), update.Suspicions)
+	e.table.mergeCrashes(time.Now(), update.Crashes)
 }
 
 func (e *Entry) installCatalog(stored *peer.CatalogResponse) error {
@@ -106,17 +106,22 @@
 	})
 }
 
-// spreadSuspicions sends new suspicions to the followed control immediately.
-func (e *Entry) spreadSuspicions(ctx context.Context) error {
+// spreadCrashes sends new crash records to the followed control immediately, and again until one has received them.
+func (e *Entry) spreadCrashes(ctx context.Context) error {
 	for {
 		select {
-		case <-e.suspicionsChanged.Items():
+		case <-e.crashesChanged.Items():
+		case <-time.After(reportInterval):
 		case <-ctx.Done():
 			return nil
 		}
-		request := &peer.SuspectRequest{Suspicions: e.table.takeUnreportedSuspicions(), ForwardToPeers: true}
-		if len(request.Suspicions) > 0 {
-			_, _ = callControl[peer.SuspectRequest, peer.SuspectResponse](ctx, e, peer.CallSuspect, request, reportTimeout)
+		request := &peer.SuspectRequest{Crashes: e.table.unreportedCrashes(time.Now()), ForwardToPeers: true}
+		if len(request.Crashes) == 0 {
+			continue
+		}
+		_, err := callControl[peer.SuspectRequest, peer.SuspectResponse](ctx, e, peer.CallSuspect, request, reportTimeout)
+		if err == nil {
+			e.table.recordCrashesReported(request.Crashes)
 		}
 	}
 }
--- a/transport/entry/quarantine.go
+++ b/transport/entry/quarantine.go
@@ -67,32 +67,39 @@
 	t.quarantine.EndProbation(f, endpoint)
 }
 
-func (t *table) recordCompleted(f quarantine.Fingerprint, endpoint string) {
+func (t *table) recordCompleted(now time.Time, f quarantine.Fingerprint, endpoint string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.quarantine.RecordCompleted(f, endpoint)
+	t.quarantine.RecordCompleted(now, f, endpoint)
 }
 
-func (t *table) recordCrash(now time.Time, f quarantine.Fingerprint, endpoint string, early bool) {
+func (t *table) recordCrash(now time.Time, crash quarantine.Crash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.quarantine.RecordCrash(now, f, endpoint, early)
+	t.quarantine.RecordCrash(now, crash)
 }
 
-func (t *table) takeUnreportedSuspicions() []quarantine.Suspicion {
+func (t *table) unreportedCrashes(now time.Time) []quarantine.Crash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.quarantine.TakeUnreported()
+	t.quarantine.Expire(now)
+	return t.quarantine.Unreported()
 }
 
-func (t *table) mergeSuspicions(now time.Time, suspicions []quarantine.Suspicion) {
+func (t *table) recordCrashesReported(crashes []quarantine.Crash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.quarantine.Merge(now, suspicions)
+	t.quarantine.RecordReported(crashes)
 }
 
-func (t *table) suspicions() []quarantine.Suspicion {
+func (t *table) mergeCrashes(now time.Time, crashes []quarantine.Crash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.quarantine.All()
+	t.quarantine.Merge(now, crashes)
+}
+
+func (t *table) suspicions(now time.Time) []quarantine.Suspicion {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.quarantine.All(now)
 }
--- a/transport/entry/run.go
+++ b/transport/entry/run.go
@@ -120,10 +120,12 @@
 	table.recordEnd(now, m.endpoint.name, endpointFailed && ctx.Err() == nil)
 	switch {
 	case completed:
-		table.recordCompleted(m.fingerprint, m.endpoint.name)
+		table.recordCompleted(now, m.fingerprint, m.endpoint.name)
 	case m.lastFailure != nil && m.lastFailure.connectionLost && ctx.Err() == nil:
-		table.recordCrash(now, m.fingerprint, m.endpoint.name, !m.probationEnded)
-		m.entry.suspicionsChanged.Offer(struct{}{})
+		table.recordCrash(now, quarantine.Crash{
+			Fingerprint: m.fingerprint, Endpoint: m.endpoint.name, SentAt: m.sentAt, EndedAt: now, Early: !m.probationEnded,
+		})
+		m.entry.crashesChanged.Offer(struct{}{})
 	default:
 		table.endProbation(m.fingerprint, m.endpoint.name)
 	}
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -21,9 +21,6 @@
 	aggregationTimeout = 400 * time.Millisecond
 	// peerBackoff is how long a VM that did not answer cannot be the aggregator.
 	peerBackoff = 3 * time.Second
-	// maxSuspicionAge is the age up to which the aggregator forwards suspicions. It spans several reports of each VM,
-	// so that each VM gets them.
-	maxSuspicionAge = 3 * time.Second
 	// maxViewAge is the age of the last sync up to which the aggregator forwards the store's content. The platform
 	// requires that a new configuration is in force within 2 s. If the aggregator loses the store, maxViewAge,
 	// aggregationInterval, storeReadCheckInterval and one listing together leave a margin below that.
@@ -53,6 +50,8 @@
 		aggregator := g.aggregator(now)
 		g.mu.Lock()
 		report := g.report(now)
+		g.expireCrashes(now)
+		crashChanges := g.addCrashes(report)
 		g.mu.Unlock()
 		if aggregator == "" || aggregator == g.settings.Name {
 			g.applySummary(now, g.mergeReport(now, report))
@@ -69,7 +68,11 @@
 			g.mu.Unlock()
 			return
 		}
-		g.applySummary(clock.Now(), summary)
+		now = clock.Now()
+		g.mu.Lock()
+		g.recordCrashExchange(now, report, crashChanges, summary)
+		g.mu.Unlock()
+		g.applySummary(now, summary)
 	})
 }
 
@@ -92,7 +95,6 @@
 	report := &vm.Report{
 		VM: g.settings.Name, EndpointLoads: g.scheduler.EndpointLoads(now), Demand: make(map[string]allocation.Demand),
 		SyncedRevision: g.knownRevision, Aggregator: g.aggregatorIncarnation, ReceivedChanges: g.receivedChanges,
-		Suspicions: g.suspects.TakeUnreported(),
 	}
 	for service, meter := range g.demandMeters {
 		report.Demand[service] = meter.Rates(now)
@@ -139,8 +141,7 @@
 		Aggregator:    g.incarnation,
 		Grace:         max(0, g.graceUntil.Sub(now)),
 	}
-	g.logQuarantines(received.VM, g.suspects.Merge(now, received.Suspicions)...)
-	s.Suspicions = g.suspects.Recent(now, maxSuspicionAge)
+	g.exchangeCrashes(now, received, s)
 	if view, ok := g.storeLog.Since(now, received.SyncedRevision, maxViewAge); ok && received.VM != g.settings.Name {
 		s.View = &view
 	}
@@ -183,7 +184,6 @@
 		g.lastViewAt = time.Time{}
 	}
 	g.aggregatorIncarnation, g.receivedChanges = s.Aggregator, s.SentChanges
-	g.logQuarantines("aggregator", g.suspects.Merge(now, s.Suspicions)...)
 	for _, runner := range g.directory.All() {
 		g.scheduler.SetOtherLoad(runner.ID, s.EndpointLoads[runner.ID])
 	}
--- a/transport/gateway/endpoint.go
+++ b/transport/gateway/endpoint.go
@@ -11,7 +11,6 @@
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
-	"github.com/zinniaroute/zinniaroute/state/quarantine"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 )
 
@@ -34,7 +33,7 @@
 // chooseEndpoint chooses an endpoint for a request, or returns the reason why none takes it. It waits while admission
 // control defers the request, while the adapter is loaded, and for a limited time while no runner holds the model.
 func (g *Gateway) chooseEndpoint(ctx context.Context, x *exchange) (dispatch.Choice, *lifecycle.NoEndpoint) {
-	if refusal := g.quarantineRefusal(x); refusal != nil {
+	if refusal := g.quarantineRefusal(clock.Now(), x); refusal != nil {
 		return dispatch.Choice{}, refusal
 	}
 	excluded := x.machine.Excluded()
@@ -91,20 +90,6 @@
 	return ctx.Err() == nil
 }
 
-// quarantineRefusal returns the refusal of a request that is quarantined because it crashed several endpoints, or nil.
-func (g *Gateway) quarantineRefusal(x *exchange) *lifecycle.NoEndpoint {
-	g.mu.Lock()
-	retryAfter := g.suspects.RetryAfter(clock.Now(), quarantine.Fingerprint(x.request.Fingerprint))
-	g.mu.Unlock()
-	if retryAfter <= 0 {
-		return nil
-	}
-	crashRecords.Add("refused", 1)
-	fingerprint := quarantine.Fingerprint(x.request.Fingerprint)
-	g.log.Emit(eventlog.RequestQuarantined, x.request.ID, fingerprint.String(), retryAfter.Milliseconds())
-	return &lifecycle.NoEndpoint{Reason: "the request has crashed several endpoints", RetryAfter: retryAfter}
-}
-
 // reject logs and returns the rejection of a request that the best endpoint would serve too late.
 func (g *Gateway) reject(x *exchange, choice dispatch.Choice, decision admission.Decision) *lifecycle.NoEndpoint {
 	g.log.Emit(
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -45,13 +44,12 @@
 
 	choice   dispatch.Choice
 	inFlight *dispatch.InFlight
+	run      *quarantine.Run
 	call     *httpcall.Exchange
 	// body is the body of an answer that is relayed whole.
 	body   []byte
 	relay  *eventRelay
 	sentAt time.Time
-	// answeredAt is when the first byte of the present answer arrived.
-	answeredAt time.Time
 	// firstByteLatency is the time from the last send to the first byte of the answer.
 	firstByteLatency time.Duration
 }
@@ -89,8 +87,9 @@
 	g := x.gateway
 	g.mu.Lock()
 	x.inFlight = g.scheduler.RecordSent(now, &x.request, x.choice)
+	x.beginRun(now)
 	g.mu.Unlock()
-	x.sentAt, x.answeredAt = now, time.Time{}
+	x.sentAt = now
 	send := platform.RequestHeaders{
 		Runner:  x.choice.Runner.ID,
 		Timeout: x.request.Deadline.Sub(now) - deadlineMargin,
@@ -118,12 +117,16 @@
 	now := clock.Now()
 	sent := httpcall.WasSent(err)
 	x.gateway.mu.Lock()
+	if sent {
+		x.failRun(ctx, now, err)
+	} else {
+		x.endRun(now, false)
+	}
 	switch {
 	case ctx.Err() != nil:
 		x.gateway.scheduler.RecordOutcome(now, x.inFlight, dispatch.Cancelled)
 	case sent:
 		x.gateway.scheduler.RecordOutcome(now, x.inFlight, dispatch.Failed)
-		x.recordCrash(now, err)
 	default:
 		x.gateway.scheduler.RecordUnreachable(now, x.inFlight)
 	}
@@ -135,51 +138,6 @@
 	return lifecycle.Unreachable{}
 }
 
-// recordCrash records a possible crash of a model runner if the runner ended the connection during the request. The
-// caller must hold the lock. Requests to plain services are skipped, since different ones can have the same
-// fingerprint.
-func (x *exchange) recordCrash(now time.Time, err error) {
-	if x.request.Unit.Model == "" {
-		return
-	}
-	if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-		return
-	}
-	g, fingerprint, sinceSend := x.gateway, quarantine.Fingerprint(x.request.Fingerprint), now.Sub(x.sentAt)
-	refused := g.suspects.RetryAfter(now, fingerprint) > 0
-	early := x.answeredAt.IsZero() || now.Sub(x.answeredAt) < progressTime
-	suspicion := g.suspects.RecordCrash(now, fingerprint, x.choice.Runner.ID, early)
-	crashRecords.Add("recorded", 1)
-	g.log.Emit(
-		eventlog.EndpointEnded, x.request.ID, suspicion.Key(), x.choice.Runner.ID, sinceSend.Milliseconds(), suspicion.Score, err,
-	)
-	if suspicion.Quarantined() && !refused {
-		g.logQuarantines("this VM", suspicion)
-	}
-}
-
-// logQuarantines logs and counts requests that are now quarantined, with the source of the record that decided it.
-func (g *Gateway) logQuarantines(source string, suspicions ...quarantine.Suspicion) {
-	for _, s := range suspicions {
-		crashRecords.Add("quarantined", 1)
-		g.log.Emit(eventlog.QuarantineStarted, s.Key(), s.Score, s.Endpoints, source)
-	}
-}
-
-// progressTime is the time after the first byte of an answer from which a crash no longer counts as early.
-const progressTime = 2 * time.Second
-
-// recordCompleted records that the endpoint completed its answer, which ends a suspicion against the request.
-func (x *exchange) recordCompleted() {
-	x.gateway.mu.Lock()
-	defer x.gateway.mu.Unlock()
-	fingerprint := quarantine.Fingerprint(x.request.Fingerprint)
-	if x.gateway.suspects.RecordCompleted(fingerprint, x.choice.Runner.ID) {
-		crashRecords.Add("dropped", 1)
-		x.gateway.log.Emit(eventlog.CrashRecordDropped, x.request.ID, fingerprint.String(), x.choice.Runner.ID)
-	}
-}
-
 func (x *exchange) handleResponse(ctx context.Context) lifecycle.Event {
 	header := &x.call.Response.Header
 	head := platform.ReadResponseHead(header)
@@ -205,7 +163,7 @@
 		outcome = dispatch.Failed
 	}
 	x.recordFirstByte()
-	x.recordOutcome(outcome)
+	x.recordOutcome(outcome, header.StatusCode() < statusMultipleChoices)
 	return lifecycle.Answered{Failure: failure}
 }
 
@@ -214,7 +172,7 @@
 	if err != nil {
 		x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, true, err)
 	}
-	x.recordOutcome(dispatch.Declined)
+	x.recordOutcome(dispatch.Declined, false)
 	if head.Misdirected {
 		x.gateway.removeUnit(x.choice.Runner, x.request.Unit)
 	}
@@ -225,16 +183,29 @@
 
 func (x *exchange) recordFirstByte() {
 	now := clock.Now()
-	x.answeredAt, x.firstByteLatency = now, now.Sub(x.sentAt)
+	x.firstByteLatency = now.Sub(x.sentAt)
 	x.gateway.mu.Lock()
 	defer x.gateway.mu.Unlock()
 	x.gateway.scheduler.RecordFirstByte(now, x.inFlight)
+	x.run.RecordFirstByte(now)
 }
 
-func (x *exchange) recordOutcome(outcome dispatch.Outcome) {
+// recordOutcome records the result of a run. Succeeded means that a whole answer with a success status arrived.
+func (x *exchange) recordOutcome(outcome dispatch.Outcome, succeeded bool) {
+	now := clock.Now()
+	x.gateway.mu.Lock()
+	defer x.gateway.mu.Unlock()
+	x.gateway.scheduler.RecordOutcome(now, x.inFlight, outcome)
+	x.endRun(now, succeeded)
+}
+
+// recordBrokenAnswer records a run whose answer broke off.
+func (x *exchange) recordBrokenAnswer(ctx context.Context, outcome dispatch.Outcome, err error) {
+	now := clock.Now()
 	x.gateway.mu.Lock()
 	defer x.gateway.mu.Unlock()
-	x.gateway.scheduler.RecordOutcome(clock.Now(), x.inFlight, outcome)
+	x.gateway.scheduler.RecordOutcome(now, x.inFlight, outcome)
+	x.failRun(ctx, now, err)
 }
 
 // Relay sends the answer that arrived to the caller.
@@ -257,22 +228,18 @@
 	switch {
 	case err == nil:
 		x.call.Done()
-		x.recordOutcome(dispatch.Served)
-		x.recordCompleted()
+		x.recordOutcome(dispatch.Served, true)
 		return lifecycle.Completed{}
 	case errors.Is(err, errCallerLeft) || ctx.Err() != nil:
 		x.call.Abort()
-		x.recordOutcome(dispatch.Cancelled)
+		x.recordBrokenAnswer(ctx, dispatch.Cancelled, errCallerLeft)
 		if ctx.Err() == nil {
 			return lifecycle.CallerLeft{}
 		}
 		return lifecycle.Truncated{}
 	default:
 		x.call.Abort()
-		x.recordOutcome(dispatch.Failed)
-		x.gateway.mu.Lock()
-		x.recordCrash(clock.Now(), err)
-		x.gateway.mu.Unlock()
+		x.recordBrokenAnswer(ctx, dispatch.Failed, err)
 		x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, true, err)
 		return lifecycle.Truncated{Resumable: x.route.Resumable}
 	}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -21,7 +21,6 @@
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
-	"github.com/zinniaroute/zinniaroute/state/quarantine"
 	"github.com/zinniaroute/zinniaroute/state/routes"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 	"github.com/zinniaroute/zinniaroute/transport/group"
@@ -79,7 +78,7 @@
 	graceUntil time.Time
 	// runnerEntries holds the runners' entries as last read, without their revisions.
 	runnerEntries map[string]fleet.Runner
-	suspects      *quarantine.Tracker
+	crashes       crashState
 	owners        *ownership.Tracker
 	ownedRunners  map[string]*ownedRunner
 	loadPermits   *pacing.Permits
@@ -125,7 +124,7 @@
 			Validity: orderValidity, OwnerChangePause: s.Bounds.OwnerChangePause.Duration, ClaimDelay: settleDelay,
 		}),
 		storeLog:      relay.NewLog(),
-		suspects:      quarantine.NewTracker(),
+		crashes:       newCrashState(),
 		runnerEntries: make(map[string]fleet.Runner),
 		ownedRunners:  make(map[string]*ownedRunner),
 		loadPermits:   pacing.NewPermits(),
--- /dev/null
+++ b/transport/gateway/quarantine_property_test.go
@@ -0,0 +1,225 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"github.com/zinniaroute/zinniaroute/eventlog"
+	"github.com/zinniaroute/zinniaroute/settings"
+	"github.com/zinniaroute/zinniaroute/standin/seeded"
+	"github.com/zinniaroute/zinniaroute/state/dispatch"
+	"github.com/zinniaroute/zinniaroute/state/fleet"
+)
+
+var _ = seeded.SetFlags()
+
+const (
+	// contactTime is how long a VM must have been undisturbed to count as in touch, and the time within which it must have
+	// learned that a request crashes runners.
+	contactTime = 3 * time.Second
+	// maxRetriesInTouch is the number of retries that VMs in touch may send to runners after that.
+	maxRetriesInTouch = 3
+	simulationTick    = 250 * time.Millisecond
+	runnerDowntime    = 2 * time.Second
+	culprit           = 1
+)
+
+func netipAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 8000)
+}
+
+// simulatedVM is a gateway without network. Its clock differs from the true time by skew.
+type simulatedVM struct {
+	gateway *Gateway
+	name    string
+	skew    time.Duration
+	// disturbedUntil is the end of the last cut.
+	disturbedUntil time.Time
+	// callLost means that the last call to the aggregator failed.
+	callLost bool
+}
+
+func (v *simulatedVM) start(now time.Time) {
+	log := eventlog.New(io.Discard, logrus.ErrorLevel, v.name, "a")
+	v.gateway = New(now.Add(v.skew), settings.Gateway{Name: v.name, Domain: "a"}, log)
+}
+
+// simulatedFleet is a deployment in which one request crashes each runner that runs it.
+type simulatedFleet struct {
+	t       *rapid.T
+	now     time.Time
+	vms     []*simulatedVM
+	runners []fleet.Runner
+	crashes []time.Time
+	// lateRetries counts the sends by VMs in touch after the third crash and contactTime.
+	lateRetries int
+	// events are due at a time.
+	events []simulatedEvent
+}
+
+type simulatedEvent struct {
+	at     time.Time
+	happen func()
+}
+
+func (f *simulatedFleet) schedule(after time.Duration, happen func()) {
+	f.events = append(f.events, simulatedEvent{f.now.Add(after), happen})
+}
+
+func newSimulatedFleet(t *rapid.T) *simulatedFleet {
+	f := &simulatedFleet{t: t, now: time.Unix(1_000_000, 0)}
+	for i := range rapid.IntRange(2, 5).Draw(t, "vms") {
+		skew := time.Duration(rapid.IntRange(-3, 3).Draw(t, "skew")) * time.Second
+		v := &simulatedVM{name: fmt.Sprint("vm-", i), skew: skew}
+		v.start(f.now)
+		f.vms = append(f.vms, v)
+	}
+	for i := range 12 {
+		f.runners = append(f.runners, fleet.Runner{
+			ID: fmt.Sprint("r", i), Address: netipAddress(i), Service: "models", Incarnation: f.now.UnixMilli(),
+		})
+	}
+	for _, v := range f.vms {
+		for _, r := range f.runners {
+			f.applyRunner(v, r)
+		}
+	}
+	return f
+}
+
+func (f *simulatedFleet) applyRunner(v *simulatedVM, runner fleet.Runner) {
+	v.gateway.mu.Lock()
+	defer v.gateway.mu.Unlock()
+	v.gateway.directory.Put(f.now.Add(v.skew), runner)
+}
+
+func (f *simulatedFleet) cut(v *simulatedVM) bool { return f.now.Before(v.disturbedUntil) }
+
+// exchange lets each VM that is not cut exchange records with the first such VM. One call of
+// two may fail, with or without effect.
+func (f *simulatedFleet) exchange() {
+	var aggregator *simulatedVM
+	for _, v := range f.vms {
+		if f.cut(v) {
+			continue
+		}
+		if aggregator == nil {
+			aggregator = v
+		}
+		f.exchangeWith(v, aggregator)
+	}
+}
+
+func (f *simulatedFleet) exchangeWith(v, aggregator *simulatedVM) {
+	now, g := f.now.Add(v.skew), v.gateway
+	g.mu.Lock()
+	report := g.report(now)
+	changes := g.addCrashes(report)
+	g.mu.Unlock()
+	call := 2
+	if !v.callLost {
+		call = rapid.IntRange(0, 9).Draw(f.t, "call")
+	}
+	v.callLost = call < 2
+	if call == 0 {
+		return
+	}
+	summary := aggregator.gateway.mergeReport(f.now.Add(aggregator.skew), report)
+	if call == 1 {
+		return
+	}
+	g.mu.Lock()
+	g.recordCrashExchange(now, report, changes, summary)
+	g.aggregatorIncarnation = summary.Aggregator
+	g.mu.Unlock()
+}
+
+// send sends the request to a runner through a VM, and reports whether it was sent. The run lasts for a time and ends
+// with the runner.
+func (f *simulatedFleet) send(v *simulatedVM, index int, lasting time.Duration) bool {
+	x := &exchange{gateway: v.gateway, request: fleet.Request{Fingerprint: culprit, Unit: fleet.Unit{Model: "large"}}}
+	if v.gateway.quarantineRefusal(f.now.Add(v.skew), x) != nil {
+		return false
+	}
+	if len(f.crashes) >= 3 && f.now.After(f.crashes[2].Add(contactTime)) && f.now.After(v.disturbedUntil.Add(contactTime)) {
+		f.lateRetries++
+	}
+	runner := f.runners[index]
+	g := v.gateway
+	g.mu.Lock()
+	x.choice = dispatch.Choice{Runner: &runner}
+	x.beginRun(f.now.Add(v.skew))
+	g.mu.Unlock()
+	f.schedule(lasting, func() {
+		f.crashes = append(f.crashes, f.now)
+		f.runners[index].Incarnation = f.now.Add(runnerDowntime).UnixMilli()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		x.failRun(f.t.Context(), f.now.Add(v.skew), io.EOF)
+	})
+	f.schedule(lasting+runnerDowntime+simulationTick, func() {
+		for _, other := range f.vms {
+			f.applyRunner(other, f.runners[index])
+		}
+	})
+	return true
+}
+
+func (f *simulatedFleet) advance(by time.Duration) {
+	for until := f.now.Add(by); f.now.Before(until); {
+		f.now = f.now.Add(simulationTick)
+		due, later := f.events, []simulatedEvent(nil)
+		f.events = nil
+		for _, e := range due {
+			if e.at.After(f.now) {
+				later = append(later, e)
+				continue
+			}
+			e.happen()
+		}
+		f.events = append(later, f.events...)
+		f.exchange()
+	}
+}
+
+// disturb cuts a VM off, or does nothing.
+func (f *simulatedFleet) disturb() {
+	v := f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(f.t, "disturbed")]
+	switch rapid.IntRange(0, 7).Draw(f.t, "disturbance") {
+	case 1:
+		v.disturbedUntil = f.now.Add(5 * time.Second)
+	}
+}
+
+// One caller sends a request that crashes each runner to any VM, again and again, while VMs are cut off, have clocks that
+// differ, and lose calls to each other.
+func TestRequestThatCrashesRunnersIsRefusedByEveryVMInTouch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newSimulatedFleet(t)
+		for i := range rapid.IntRange(10, 40).Draw(t, "sends") {
+			v := f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(t, "vm")]
+			lasting := time.Duration(rapid.IntRange(0, 16).Draw(t, "lasting")) * simulationTick
+			// A runner that is down is not reached.
+			index := slices.IndexFunc(f.runners, func(r fleet.Runner) bool { return time.UnixMilli(r.Incarnation).Before(f.now) })
+			if index < 0 {
+				f.advance(runnerDowntime)
+				continue
+			}
+			if f.send(v, index, lasting) {
+				f.advance(lasting + simulationTick)
+			}
+			f.advance(time.Duration(rapid.IntRange(0, 8).Draw(t, fmt.Sprint("pause", i))) * simulationTick)
+			f.disturb()
+			if f.lateRetries > maxRetriesInTouch {
+				t.Fatalf("%d crashes, %d late retries by VMs in touch", len(f.crashes), f.lateRetries)
+			}
+		}
+	})
+}
