Count a runner that ended without ending the connection

Only a connection that a runner reset or closed counted as its end. A runner that falls silent, or ends behind a cut and starts again, leaves a run that the gateway gives up: the caller leaves, the deadline passes, keep-alive closes the connection. Nothing tied the new incarnation to the requests that ran on the old one, so a request could end any number of runners this way.

A gateway now keeps the runs in progress, and for 30 s those that it gave up. When an entry shows that a runner has started again, or that another has taken its address, each run that may have been in progress counts as ended by it. A runner whose entry goes and comes back with the same start has not ended, so one that is only cut off condemns nothing: TestRunnerThatIsOnlyCutOffCondemnsNothing.

The property test of the gateways draws silent runners too. What a gateway knows only by a silent run is lost if that process ends first.

--- a/integration/gateway_crash_test.go
+++ b/integration/gateway_crash_test.go
@@ -1,7 +1,9 @@
 package integration
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"slices"
 	"testing"
 	"time"
@@ -108,3 +110,63 @@
 		})
 	}
 }
+
+// callers is a set of gateways to which one caller sends a request in turn.
+type callers struct {
+	*deployment
+	names []string
+	sent  int
+}
+
+// sendInTurn sends a request to the next gateway and gives up after a time.
+func (c *callers) sendInTurn(path, model, body string, patience time.Duration) (status int) {
+	ctx, cancel := context.WithTimeout(c.t.Context(), patience)
+	defer cancel()
+	name := c.names[c.sent%len(c.names)]
+	c.sent++
+	response, err := testClient.Do(newRequest(ctx, c.gateways[name], path, model, []byte(body)))
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// crashingDeployment starts gateways and runners of a service that crash on a request.
+func crashingDeployment(t *testing.T, service string, crash modelrunner.Crash) *callers {
+	t.Helper()
+	d := newDeployment(t)
+	for i := range 6 {
+		runner := d.addRunner(fmt.Sprint("r", i), service, "large")
+		runner.SetCrash(crash)
+	}
+	c := &callers{deployment: d, names: []string{"vm-1", "vm-2", "vm-3"}}
+	for _, name := range c.names {
+		d.addGateway(name)
+	}
+	c.waitServes(service)
+	return c
+}
+
+func (c *callers) waitServes(service string) {
+	c.t.Helper()
+	path, model := modelPath, "large"
+	if service == plainService {
+		path, model = unsafePath, ""
+	}
+	for _, name := range c.names {
+		waitUntil(c.t, name+" serves", func() bool { return c.send(name, path, model).status == 200 })
+	}
+}
+
+func TestRequestKeepsReachingRunnersThatItCrashesSilently(t *testing.T) {
+	c := crashingDeployment(t, modelService, modelrunner.Crash{Body: "poison", Silent: true, NewID: true})
+	startedAt := time.Now()
+	for c.lateRetries("poison") <= maxLateRetries && time.Since(startedAt) < 20*time.Second {
+		c.sendInTurn(modelPath, "large", "poison", time.Second)
+		group.Sleep(t.Context(), 200*time.Millisecond)
+	}
+	assert.Check(t, len(c.crashes()) >= 3)
+	assert.Check(t, c.lateRetries("poison") <= maxLateRetries, "%d late retries", c.lateRetries("poison"))
+}
--- a/state/quarantine/runs.go
+++ b/state/quarantine/runs.go
@@ -5,8 +5,15 @@
 	"time"
 )
 
-// progressTime is the time after the first byte of an answer from which a crash no longer counts as early.
-const progressTime = 2 * time.Second
+const (
+	// progressTime is the time after the first byte of an answer from which a crash no longer counts as early.
+	progressTime = 2 * time.Second
+	// maxRestartTime bounds the time from the end of an endpoint to its next start.
+	maxRestartTime = 10 * time.Second
+	// unansweredTTL is how long a run that ended without an answer is kept. It covers maxRestartTime and the time until
+	// this VM learns of the next start.
+	unansweredTTL = 30 * time.Second
+)
 
 // Run is one attempt of a request on an endpoint.
 type Run struct {
@@ -14,8 +21,10 @@
 	endpoint    string
 	incarnation int64
 	sentAt      time.Time
-	// answeredAt is when the first byte of the answer arrived, or zero before.
+	// answeredAt is when the first byte of the answer arrived, and endedAt is when this VM gave the run up. Both are zero
+	// before.
 	answeredAt time.Time
+	endedAt    time.Time
 }
 
 // RecordFirstByte records that the answer began to arrive.
@@ -29,7 +38,8 @@
 	}
 }
 
-// Runs holds the runs in progress. It is not safe for concurrent use.
+// Runs holds the runs whose endpoint may still turn out to have ended under them: those in progress, and those that were
+// given up without an answer. It is not safe for concurrent use.
 type Runs struct {
 	byEndpoint map[string][]*Run
 }
@@ -49,6 +59,36 @@
 	r.keep(run.endpoint, func(other *Run) bool { return other != run })
 }
 
+// GiveUp records that the VM stopped waiting for the answer, for example because the caller left.
+func (r *Runs) GiveUp(now time.Time, run *Run) { run.endedAt = now }
+
+// EndpointStarted records that an endpoint has started again, or that another one has taken its address. It removes the
+// runs of the earlier incarnation and returns a crash for each that may have been in progress when it ended.
+func (r *Runs) EndpointStarted(now time.Time, endpoint string, startedAt time.Time) []Crash {
+	var crashes []Crash
+	r.keep(endpoint, func(run *Run) bool {
+		if !run.sentAt.Before(startedAt) {
+			return true
+		}
+		if run.endedAt.IsZero() || startedAt.Sub(run.endedAt) < maxRestartTime {
+			endedAt := now
+			if startedAt.Before(endedAt) {
+				endedAt = startedAt
+			}
+			crashes = append(crashes, run.Crash(endedAt))
+		}
+		return false
+	})
+	return crashes
+}
+
+// Expire removes the runs that were given up too long ago to be tied to a restart.
+func (r *Runs) Expire(now time.Time) {
+	for endpoint := range r.byEndpoint {
+		r.keep(endpoint, func(run *Run) bool { return run.endedAt.IsZero() || now.Sub(run.endedAt) < unansweredTTL })
+	}
+}
+
 func (r *Runs) keep(endpoint string, keep func(*Run) bool) {
 	kept := slices.DeleteFunc(r.byEndpoint[endpoint], func(run *Run) bool { return !keep(run) })
 	if len(kept) == 0 {
--- a/state/quarantine/runs_test.go
+++ b/state/quarantine/runs_test.go
@@ -7,6 +7,40 @@
 	"gotest.tools/v3/assert"
 )
 
+func TestRestartedEndpointHasEndedItsRuns(t *testing.T) {
+	restart := start.Add(10 * time.Second)
+	tests := []struct {
+		name    string
+		sentAt  time.Time
+		outcome func(runs *Runs, run *Run)
+		crashes int
+	}{
+		{"still in progress", start, func(*Runs, *Run) {}, 1},
+		{"given up just before", start, func(runs *Runs, run *Run) { runs.GiveUp(restart.Add(-time.Second), run) }, 1},
+		{"given up after it", start, func(runs *Runs, run *Run) { runs.GiveUp(restart.Add(time.Second), run) }, 1},
+		{"given up long before", start.Add(-time.Minute), func(runs *Runs, run *Run) { runs.GiveUp(start.Add(-time.Second), run) }, 0},
+		{"answered", start, func(runs *Runs, run *Run) { runs.End(run) }, 0},
+		{"sent to the new incarnation", restart.Add(time.Millisecond), func(*Runs, *Run) {}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runs := NewRuns()
+			run := runs.Begin(test.sentAt, 7, "a", 1)
+			other := runs.Begin(test.sentAt, 7, "b", 1)
+			test.outcome(runs, run)
+			crashes := runs.EndpointStarted(restart.Add(2*time.Second), "a", restart)
+			assert.Equal(t, len(crashes), test.crashes)
+			for _, c := range crashes {
+				assert.Equal(t, c.Key(), Crash{Fingerprint: 7, Endpoint: "a", SentAt: test.sentAt}.Key())
+				assert.Equal(t, c.EndedAt, restart)
+				assert.Assert(t, c.Early)
+			}
+			assert.Equal(t, len(runs.EndpointStarted(restart.Add(3*time.Second), "a", restart)), 0)
+			runs.End(other)
+		})
+	}
+}
+
 func TestCrashAfterProgressIsNotEarly(t *testing.T) {
 	runs := NewRuns()
 	run := runs.Begin(start, 7, "a", 1)
@@ -15,3 +49,11 @@
 	assert.Assert(t, run.Crash(start.Add(time.Minute+time.Second)).Early)
 	assert.Assert(t, !run.Crash(start.Add(time.Minute+3*time.Second)).Early)
 }
+
+func TestRunsThatWereGivenUpExpire(t *testing.T) {
+	runs := NewRuns()
+	runs.GiveUp(start, runs.Begin(start, 7, "a", 1))
+	runs.Begin(start, 7, "b", 1)
+	runs.Expire(start.Add(time.Minute))
+	assert.Equal(t, len(runs.byEndpoint), 1)
+}
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -11,10 +12,14 @@
 	"github.com/zinniaroute/zinniaroute/coordination/dissemination"
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/protocol/vm"
+	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
 	"github.com/zinniaroute/zinniaroute/state/quarantine"
 )
 
+// errStartedAgain is the evidence of a crash that ended no connection here.
+var errStartedAgain = errors.New("the runner started again")
+
 // crashState holds what a VM knows of crashes during requests. The gateway's lock protects it.
 type crashState struct {
 	tracker *quarantine.Tracker
@@ -24,11 +29,19 @@
 	// that this VM has. Both hold for the aggregator process that answered last.
 	sent, received uint64
 	runs           *quarantine.Runs
+	// occupants maps an address to the runner that was last seen there.
+	occupants map[netip.AddrPort]occupant
+}
+
+type occupant struct {
+	runner      string
+	incarnation int64
 }
 
 func newCrashState() crashState {
 	return crashState{
 		tracker: quarantine.NewTracker(), records: dissemination.NewTable[quarantine.Crash](), runs: quarantine.NewRuns(),
+		occupants: make(map[netip.AddrPort]occupant),
 	}
 }
 
@@ -76,12 +89,16 @@
 // crashed it. The caller must hold the lock.
 func (x *exchange) failRun(ctx context.Context, now time.Time, err error) {
 	g := x.gateway
+	if ctx.Err() != nil || errors.Is(err, errCallerLeft) || errors.Is(err, syscall.ETIMEDOUT) {
+		g.crashes.runs.GiveUp(now, x.run)
+		return
+	}
 	g.crashes.runs.End(x.run)
-	if ctx.Err() != nil || x.request.Unit.Model == "" {
+	if x.request.Unit.Model == "" {
 		// Different requests to plain services can have the same fingerprint.
 		return
 	}
-	if errors.Is(err, syscall.ECONNRESET) ||
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
 		errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		g.recordCrash(now, x.request.ID, x.run.Crash(now), err)
 	}
@@ -102,6 +119,30 @@
 	}
 }
 
+// recordRunnerStart records that the runner of an entry has started: its earlier incarnation has ended, and so has any
+// other runner at its address. It must be called before the entry is put into the directory. The caller must hold the
+// lock.
+func (g *Gateway) recordRunnerStart(now time.Time, runner fleet.Runner) {
+	startedAt := time.UnixMilli(runner.Incarnation)
+	if old := g.directory.Get(runner.ID); old != nil && old.Incarnation < runner.Incarnation {
+		g.recordRunnerEnd(now, runner.ID, startedAt)
+	}
+	before, known := g.crashes.occupants[runner.Address]
+	if known && before.incarnation >= runner.Incarnation {
+		return
+	}
+	g.crashes.occupants[runner.Address] = occupant{runner: runner.ID, incarnation: runner.Incarnation}
+	if known && before.runner != runner.ID {
+		g.recordRunnerEnd(now, before.runner, startedAt)
+	}
+}
+
+func (g *Gateway) recordRunnerEnd(now time.Time, runner string, startedAt time.Time) {
+	for _, crash := range g.crashes.runs.EndpointStarted(now, runner, startedAt) {
+		g.recordCrash(now, "", crash, errStartedAgain)
+	}
+}
+
 // logQuarantines logs and counts requests that are now quarantined, with the source of the record that decided it.
 func (g *Gateway) logQuarantines(source string, suspicions ...quarantine.Suspicion) {
 	for _, s := range suspicions {
@@ -129,6 +170,7 @@
 func (g *Gateway) expireCrashes(now time.Time) {
 	g.crashes.tracker.Expire(now)
 	g.crashes.records.Expire(now.Add(-quarantine.SuspicionTTL))
+	g.crashes.runs.Expire(now)
 }
 
 // addCrashes adds to a report the crash records that the aggregator lacks. It returns the number of changes that the
--- a/transport/gateway/quarantine_property_test.go
+++ b/transport/gateway/quarantine_property_test.go
@@ -16,6 +16,7 @@
 	"github.com/zinniaroute/zinniaroute/standin/seeded"
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
+	"github.com/zinniaroute/zinniaroute/state/quarantine"
 )
 
 var _ = seeded.SetFlags()
@@ -97,6 +98,7 @@
 func (f *simulatedFleet) applyRunner(v *simulatedVM, runner fleet.Runner) {
 	v.gateway.mu.Lock()
 	defer v.gateway.mu.Unlock()
+	v.gateway.recordRunnerStart(f.now.Add(v.skew), runner)
 	v.gateway.directory.Put(f.now.Add(v.skew), runner)
 }
 
@@ -142,8 +144,8 @@
 }
 
 // send sends the request to a runner through a VM, and reports whether it was sent. The run lasts for a time and ends
-// with the runner.
-func (f *simulatedFleet) send(v *simulatedVM, index int, lasting time.Duration) bool {
+// with the runner. Silent means that the VM's connection does not show it.
+func (f *simulatedFleet) send(v *simulatedVM, index int, lasting time.Duration, silent bool) bool {
 	x := &exchange{gateway: v.gateway, request: fleet.Request{Fingerprint: culprit, Unit: fleet.Unit{Model: "large"}}}
 	if v.gateway.quarantineRefusal(f.now.Add(v.skew), x) != nil {
 		return false
@@ -162,6 +164,10 @@
 		f.runners[index].Incarnation = f.now.Add(runnerDowntime).UnixMilli()
 		g.mu.Lock()
 		defer g.mu.Unlock()
+		if silent {
+			f.schedule(time.Second, func() { f.giveUp(g, x, v.skew) })
+			return
+		}
 		x.failRun(f.t.Context(), f.now.Add(v.skew), io.EOF)
 	})
 	f.schedule(lasting+runnerDowntime+simulationTick, func() {
@@ -172,6 +178,12 @@
 	return true
 }
 
+func (f *simulatedFleet) giveUp(g *Gateway, x *exchange, skew time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	x.failRun(f.t.Context(), f.now.Add(skew), errCallerLeft)
+}
+
 func (f *simulatedFleet) advance(by time.Duration) {
 	for until := f.now.Add(by); f.now.Before(until); {
 		f.now = f.now.Add(simulationTick)
@@ -203,6 +215,7 @@
 func TestRequestThatCrashesRunnersIsRefusedByEveryVMInTouch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newSimulatedFleet(t)
+		silentRunners := rapid.Bool().Draw(t, "silent")
 		for i := range rapid.IntRange(10, 40).Draw(t, "sends") {
 			v := f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(t, "vm")]
 			lasting := time.Duration(rapid.IntRange(0, 16).Draw(t, "lasting")) * simulationTick
@@ -212,7 +225,7 @@
 				f.advance(runnerDowntime)
 				continue
 			}
-			if f.send(v, index, lasting) {
+			if f.send(v, index, lasting, silentRunners) {
 				f.advance(lasting + simulationTick)
 			}
 			f.advance(time.Duration(rapid.IntRange(0, 8).Draw(t, fmt.Sprint("pause", i))) * simulationTick)
@@ -223,3 +236,25 @@
 		}
 	})
 }
+
+func TestRunnerThatIsOnlyCutOffCondemnsNothing(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	v := &simulatedVM{name: "vm-1"}
+	v.start(start)
+	g := v.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := range 8 {
+		now := start.Add(time.Duration(i) * 10 * time.Second)
+		runner := fleet.Runner{ID: "r1", Address: netipAddress(1), Incarnation: 7}
+		g.recordRunnerStart(now, runner)
+		x := &exchange{gateway: g, request: fleet.Request{Fingerprint: culprit, Unit: fleet.Unit{Model: "large"}}, choice: dispatch.Choice{Runner: &runner}}
+		x.beginRun(now)
+		x.failRun(t.Context(), now.Add(5*time.Second), errCallerLeft)
+		g.directory.Remove("r1")
+		g.recordRunnerStart(now.Add(8*time.Second), runner)
+	}
+	if s := g.crashes.tracker.Suspicion(start.Add(80*time.Second), quarantine.Fingerprint(culprit)); len(s.Endpoints) > 0 {
+		t.Fatalf("condemned: %+v", s)
+	}
+}
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -294,6 +294,7 @@
 		g.log.Emit(eventlog.RunnerEntryUnreadable, id, item.Revision, err)
 		return true
 	}
+	g.recordRunnerStart(now, runner)
 	if change := g.directory.Put(now, runner); change != fleet.ChangeNone {
 		g.log.Emit(eventlog.RunnerEntryChanged, id, string(change), runner.Service, item.Revision)
 	}
