Keep crash records of requests to plain services too

A request to a plain service that crashes each runner was never refused: such requests were left out, because different ones could have the same fingerprint.

Callers may still share the path of requests without a body, so the caller's address is part of their fingerprint; and one that completes clears the records.

--- a/integration/gateway_crash_test.go
+++ b/integration/gateway_crash_test.go
@@ -160,6 +160,16 @@
 	}
 }
 
+func TestRequestToPlainServiceKeepsReachingRunnersAfterItCrashedThree(t *testing.T) {
+	c := crashingDeployment(t, plainService, modelrunner.Crash{Body: "poison", NewID: true})
+	for i := 0; c.lateRetries("poison") <= maxLateRetries && i < 40; i++ {
+		c.sendInTurn(unsafePath, "", "poison", 5*time.Second)
+		group.Sleep(t.Context(), 300*time.Millisecond)
+	}
+	assert.Check(t, len(c.crashes()) >= 3)
+	assert.Check(t, c.lateRetries("poison") <= maxLateRetries, "%d late retries", c.lateRetries("poison"))
+}
+
 func TestRequestKeepsReachingRunnersThatItCrashesSilently(t *testing.T) {
 	c := crashingDeployment(t, modelService, modelrunner.Crash{Body: "poison", Silent: true, NewID: true})
 	startedAt := time.Now()
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -63,7 +64,7 @@
 	if g.stopping.Load() {
 		c.SetConnectionClose()
 	}
-	request, callerTimeout := platform.ReadRequest(&c.Request)
+	request, callerTimeout := platform.ReadRequest(&c.Request, callerAddress(c))
 	request.ArrivedAt = now
 	if g.refusing.Load() {
 		g.log.Emit(eventlog.RequestRefusedStopping, request.ID)
@@ -108,6 +109,15 @@
 	x.finish(ctx, lifecycle.Drive(ctx, clock.Now, x.machine, x))
 }
 
+// callerAddress returns the address from which the caller has connected, or the zero address if it is unknown.
+func callerAddress(c *app.RequestContext) netip.Addr {
+	address, err := netip.ParseAddrPort(c.RemoteAddr().String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return address.Addr().Unmap()
+}
+
 // requestPath returns the path of a request as the caller sent it, without the query.
 func requestPath(c *app.RequestContext) string {
 	path, _, _ := strings.Cut(string(c.Request.Header.RequestURI()), "?")
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -94,10 +94,6 @@
 		return
 	}
 	g.crashes.runs.End(x.run)
-	if x.request.Unit.Model == "" {
-		// Different requests to plain services can have the same fingerprint.
-		return
-	}
 	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
 		errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		g.recordCrash(now, x.request.ID, x.run.Crash(now), err)
