Keep quarantines in the store, so that they outlast the processes

Records of crashes lived in memory only. After the loss of all VMs, or on a VM that starts while it is cut off from its peers, a quarantined request reached runners again, three times and more.

The crashes of a quarantined request are now written to the store under quarantine/, once, with a lease for the rest of its time; a VM that saw one of them writes first, the others after a second. Each VM takes them over with the store's content.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -169,6 +169,16 @@
 		[]string{"print", "score", "runners", "source"},
 		"Find its caller by the lines of event 512 with the same print.",
 	}
+	QuarantineNotStored = Event{
+		515, logrus.WarnLevel, "quarantine could not be written to the store; the write is retried",
+		[]string{"print", "error"},
+		"Check the store; until then a quarantine does not outlast a restart of all VMs.",
+	}
+	QuarantineUnreadable = Event{
+		516, logrus.WarnLevel, "stored quarantine could not be read; it is ignored",
+		[]string{"print", "revision", "error"},
+		"Check which version of the program wrote the key.",
+	}
 	RegistrationFailed = Event{
 		408, logrus.WarnLevel, "membership key of the VM could not be written; the write is retried",
 		[]string{"error"},
@@ -272,7 +282,7 @@
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined,
 		RequestServed, RequestNotServed, LogLinesDropped,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
-		CrashRecordDropped, QuarantineStarted, SettingsReloaded, RegistrationFailed, MemberChanged,
+		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, SettingsReloaded, RegistrationFailed, MemberChanged,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- a/integration/gateway_crash_test.go
+++ b/integration/gateway_crash_test.go
@@ -180,3 +180,31 @@
 	assert.Check(t, len(c.crashes()) >= 3)
 	assert.Check(t, c.lateRetries("poison") <= maxLateRetries, "%d late retries", c.lateRetries("poison"))
 }
+
+func TestQuarantineIsLostWithAllGateways(t *testing.T) {
+	c := crashingDeployment(t, modelService, modelrunner.Crash{Body: "poison", NewID: true})
+	waitUntil(t, "every gateway refuses the request", func() bool {
+		for range c.names {
+			if c.sendInTurn(modelPath, "large", "poison", 5*time.Second) != 503 {
+				return false
+			}
+		}
+		return true
+	})
+	group.Sleep(t.Context(), time.Second)
+	for _, name := range c.names {
+		c.processes[name].kill()
+	}
+	before := len(c.crashes())
+	for _, name := range c.names {
+		c.startProcess(name, "gateway", "--settings", c.gateways[name].settings)
+	}
+	for _, name := range c.names {
+		c.waitGatewayReady(name)
+	}
+	c.waitServes(modelService)
+	for range 9 {
+		c.sendInTurn(modelPath, "large", "poison", 5*time.Second)
+	}
+	assert.Equal(t, len(c.crashes()), before)
+}
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -50,7 +50,6 @@
 		aggregator := g.aggregator(now)
 		g.mu.Lock()
 		report := g.report(now)
-		g.expireCrashes(now)
 		crashChanges := g.addCrashes(report)
 		g.mu.Unlock()
 		if aggregator == "" || aggregator == g.settings.Name {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -152,6 +152,7 @@
 	tasks.Start("register", g.keepRegistered)
 	tasks.Start("claim runners", g.claimRunners)
 	tasks.Start("exchange", g.syncWithAggregator)
+	tasks.Start("store quarantines", g.storeQuarantines)
 	g.log.Emit(eventlog.ProcessStarted, "gateway", callers.Addr().String(), readiness.Addr().String())
 }
 
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/netip"
+	"strings"
 	"syscall"
 	"time"
 
@@ -11,10 +13,26 @@
 
 	"github.com/zinniaroute/zinniaroute/coordination/dissemination"
 	"github.com/zinniaroute/zinniaroute/eventlog"
+	"github.com/zinniaroute/zinniaroute/platform"
 	"github.com/zinniaroute/zinniaroute/protocol/vm"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
 	"github.com/zinniaroute/zinniaroute/state/quarantine"
+	"github.com/zinniaroute/zinniaroute/transport/clock"
+	"github.com/zinniaroute/zinniaroute/transport/group"
+)
+
+const (
+	// quarantinePrefix is the prefix of the keys of quarantined requests in the store. They outlast the processes, and
+	// reach VMs that are cut off from the aggregator.
+	quarantinePrefix = "quarantine/"
+	// quarantineStoreInterval is the interval at which quarantines that the store lacks are written.
+	quarantineStoreInterval = 250 * time.Millisecond
+	// quarantineStoreDelay is the time that a VM leaves to those that observed a crash of the request themselves.
+	quarantineStoreDelay = time.Second
+	// minQuarantineTTL is the remaining time from which a quarantine is not worth a write. The store grants no lease
+	// below one second.
+	minQuarantineTTL = 2 * time.Second
 )
 
 // errStartedAgain is the evidence of a crash that ended no connection here.
@@ -31,6 +49,11 @@
 	runs           *quarantine.Runs
 	// occupants maps an address to the runner that was last seen there.
 	occupants map[netip.AddrPort]occupant
+	// stored holds the fingerprints of the quarantines that the store has. missingSince is the time since when it has
+	// lacked one, and observed holds those with a crash that this VM observed itself.
+	stored       map[string]bool
+	missingSince map[quarantine.Fingerprint]time.Time
+	observed     map[quarantine.Fingerprint]bool
 }
 
 type occupant struct {
@@ -41,7 +64,8 @@
 func newCrashState() crashState {
 	return crashState{
 		tracker: quarantine.NewTracker(), records: dissemination.NewTable[quarantine.Crash](), runs: quarantine.NewRuns(),
-		occupants: make(map[netip.AddrPort]occupant),
+		occupants: make(map[netip.AddrPort]occupant), stored: make(map[string]bool),
+		missingSince: make(map[quarantine.Fingerprint]time.Time), observed: make(map[quarantine.Fingerprint]bool),
 	}
 }
 
@@ -105,6 +129,7 @@
 	refused := g.crashes.tracker.RetryAfter(now, crash.Fingerprint) > 0
 	suspicion := g.crashes.tracker.RecordCrash(now, crash)
 	g.putCrashRecords(now, []quarantine.Crash{crash})
+	g.crashes.observed[crash.Fingerprint] = true
 	crashRecords.Add("recorded", 1)
 	g.log.Emit(
 		eventlog.EndpointEnded, request, crash.Fingerprint.String(), crash.Endpoint,
@@ -167,6 +192,12 @@
 	g.crashes.tracker.Expire(now)
 	g.crashes.records.Expire(now.Add(-quarantine.SuspicionTTL))
 	g.crashes.runs.Expire(now)
+	for fingerprint := range g.crashes.observed {
+		if len(g.crashes.tracker.Crashes(now, fingerprint)) == 0 {
+			delete(g.crashes.observed, fingerprint)
+			delete(g.crashes.missingSince, fingerprint)
+		}
+	}
 }
 
 // addCrashes adds to a report the crash records that the aggregator lacks. It returns the number of changes that the
@@ -199,3 +230,85 @@
 	}
 	s.Crashes, s.SentCrashes = g.crashes.records.ChangedSince(known)
 }
+
+// applyQuarantine applies a change of a quarantine's key. The caller must hold the lock.
+func (g *Gateway) applyQuarantine(now time.Time, item platform.Item) {
+	name := strings.TrimPrefix(item.Key, quarantinePrefix)
+	if item.Deleted {
+		delete(g.crashes.stored, name)
+		return
+	}
+	g.crashes.stored[name] = true
+	var crashes []quarantine.Crash
+	if err := json.Unmarshal(item.Value, &crashes); err != nil {
+		g.log.Emit(eventlog.QuarantineUnreadable, name, item.Revision, err)
+		return
+	}
+	g.mergeCrashes(now, "store", crashes)
+}
+
+// storeQuarantines writes the quarantines that the store lacks.
+func (g *Gateway) storeQuarantines(ctx context.Context) error {
+	return group.Every(ctx, quarantineStoreInterval, func(time.Time) {
+		now := clock.Now()
+		g.mu.Lock()
+		g.expireCrashes(now)
+		pending := g.missingQuarantines(now)
+		g.mu.Unlock()
+		for _, suspicion := range pending {
+			if err := g.storeQuarantine(ctx, now, suspicion.Fingerprint); err != nil && !errors.Is(err, platform.ErrConflict) {
+				g.log.Emit(eventlog.QuarantineNotStored, suspicion.Fingerprint.String(), err)
+				return
+			}
+		}
+	})
+}
+
+// missingQuarantines returns the quarantines that this VM should write to the store. The caller must hold the lock.
+func (g *Gateway) missingQuarantines(now time.Time) []quarantine.Suspicion {
+	var missing []quarantine.Suspicion
+	for _, s := range g.crashes.tracker.All(now) {
+		if !s.Quarantined() || g.crashes.stored[s.Fingerprint.String()] {
+			delete(g.crashes.missingSince, s.Fingerprint)
+			continue
+		}
+		since, known := g.crashes.missingSince[s.Fingerprint]
+		if !known {
+			since = now
+			g.crashes.missingSince[s.Fingerprint] = now
+		}
+		if g.crashes.observed[s.Fingerprint] || now.Sub(since) >= quarantineStoreDelay {
+			missing = append(missing, s)
+		}
+	}
+	return missing
+}
+
+// storeQuarantine writes the crashes of a quarantined request to the store, unless it has them.
+func (g *Gateway) storeQuarantine(ctx context.Context, now time.Time, f quarantine.Fingerprint) error {
+	g.mu.Lock()
+	ttl := min(g.crashes.tracker.RetryAfter(now, f), quarantine.SuspicionTTL)
+	value, err := json.Marshal(g.crashes.tracker.Crashes(now, f))
+	g.mu.Unlock()
+	if err != nil {
+		return errors.Wrap(err, "encode crashes")
+	}
+	if ttl < minQuarantineTTL {
+		return nil
+	}
+	lease, _, err := g.store.GrantLease(ctx, ttl)
+	if err != nil {
+		return err
+	}
+	key := quarantinePrefix + f.String()
+	_, err = g.store.Commit(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Key: key}},
+		Writes:     []platform.Write{{Key: key, Value: value, Lease: lease}},
+	})
+	if err == nil || errors.Is(err, platform.ErrConflict) {
+		g.mu.Lock()
+		g.crashes.stored[f.String()] = true
+		g.mu.Unlock()
+	}
+	return err
+}
--- a/transport/gateway/quarantine_property_test.go
+++ b/transport/gateway/quarantine_property_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/netip"
@@ -12,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/zinniaroute/zinniaroute/eventlog"
+	"github.com/zinniaroute/zinniaroute/platform"
 	"github.com/zinniaroute/zinniaroute/settings"
 	"github.com/zinniaroute/zinniaroute/standin/seeded"
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
@@ -41,10 +43,12 @@
 	gateway *Gateway
 	name    string
 	skew    time.Duration
-	// disturbedUntil is the end of the last cut.
+	// disturbedUntil is the end of the last cut or restart.
 	disturbedUntil time.Time
-	// callLost means that the last call to the aggregator failed.
-	callLost bool
+	// callLost means that the last call to the aggregator failed, and observedAt is when the VM last saw a crash, or will
+	// see a silent one by the runner's restart.
+	callLost   bool
+	observedAt time.Time
 }
 
 func (v *simulatedVM) start(now time.Time) {
@@ -58,7 +62,10 @@
 	now     time.Time
 	vms     []*simulatedVM
 	runners []fleet.Runner
-	crashes []time.Time
+	// stored holds the values of the quarantine keys in the store, and storeDownUntil is the end of its last outage.
+	stored         map[string][]byte
+	storeDownUntil time.Time
+	crashes        []time.Time
 	// lateRetries counts the sends by VMs in touch after the third crash and contactTime.
 	lateRetries int
 	// events are due at a time.
@@ -75,7 +82,7 @@
 }
 
 func newSimulatedFleet(t *rapid.T) *simulatedFleet {
-	f := &simulatedFleet{t: t, now: time.Unix(1_000_000, 0)}
+	f := &simulatedFleet{t: t, now: time.Unix(1_000_000, 0), stored: make(map[string][]byte)}
 	for i := range rapid.IntRange(2, 5).Draw(t, "vms") {
 		skew := time.Duration(rapid.IntRange(-3, 3).Draw(t, "skew")) * time.Second
 		v := &simulatedVM{name: fmt.Sprint("vm-", i), skew: skew}
@@ -104,7 +111,7 @@
 
 func (f *simulatedFleet) cut(v *simulatedVM) bool { return f.now.Before(v.disturbedUntil) }
 
-// exchange lets each VM that is not cut exchange records with the first such VM. One call of
+// exchange lets each VM that is not cut exchange records with the first such VM, and lets the store follow. One call of
 // two may fail, with or without effect.
 func (f *simulatedFleet) exchange() {
 	var aggregator *simulatedVM
@@ -116,6 +123,11 @@
 			aggregator = v
 		}
 		f.exchangeWith(v, aggregator)
+		if f.now.Before(f.storeDownUntil) {
+			continue
+		}
+		f.writeStore(v)
+		f.readStore(v)
 	}
 }
 
@@ -143,6 +155,25 @@
 	g.mu.Unlock()
 }
 
+func (f *simulatedFleet) writeStore(v *simulatedVM) {
+	v.gateway.mu.Lock()
+	defer v.gateway.mu.Unlock()
+	now := f.now.Add(v.skew)
+	for _, s := range v.gateway.missingQuarantines(now) {
+		value, err := json.Marshal(v.gateway.crashes.tracker.Crashes(now, s.Fingerprint))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.stored[quarantinePrefix+s.Fingerprint.String()] = value
+	}
+}
+
+func (f *simulatedFleet) readStore(v *simulatedVM) {
+	for key, value := range f.stored {
+		v.gateway.applyCoordinationItem(f.now.Add(v.skew), platform.Item{Key: key, Value: value})
+	}
+}
+
 // send sends the request to a runner through a VM, and reports whether it was sent. The run lasts for a time and ends
 // with the runner. Silent means that the VM's connection does not show it.
 func (f *simulatedFleet) send(v *simulatedVM, index int, lasting time.Duration, silent bool) bool {
@@ -165,9 +196,11 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if silent {
+			v.observedAt = f.now.Add(runnerDowntime + simulationTick)
 			f.schedule(time.Second, func() { f.giveUp(g, x, v.skew) })
 			return
 		}
+		v.observedAt = f.now
 		x.failRun(f.t.Context(), f.now.Add(v.skew), io.EOF)
 	})
 	f.schedule(lasting+runnerDowntime+simulationTick, func() {
@@ -201,17 +234,29 @@
 	}
 }
 
-// disturb cuts a VM off, or does nothing.
+// disturb restarts a VM, cuts it off, or takes the store down, or does nothing.
 func (f *simulatedFleet) disturb() {
 	v := f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(f.t, "disturbed")]
 	switch rapid.IntRange(0, 7).Draw(f.t, "disturbance") {
+	case 0:
+		if f.now.Before(v.observedAt.Add(4 * simulationTick)) {
+			// What a process saw in its last moments is lost with it.
+			return
+		}
+		v.start(f.now)
+		v.disturbedUntil = f.now.Add(simulationTick)
+		for _, r := range f.runners {
+			f.applyRunner(v, r)
+		}
 	case 1:
 		v.disturbedUntil = f.now.Add(5 * time.Second)
+	case 2:
+		f.storeDownUntil = f.now.Add(5 * time.Second)
 	}
 }
 
-// One caller sends a request that crashes each runner to any VM, again and again, while VMs are cut off, have clocks that
-// differ, and lose calls to each other.
+// One caller sends a request that crashes each runner to any VM, again and again, while VMs restart, are cut off, have
+// clocks that differ, and lose calls to each other.
 func TestRequestThatCrashesRunnersIsRefusedByEveryVMInTouch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newSimulatedFleet(t)
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -201,7 +201,7 @@
 	}
 }
 
-// removeUnlisted removes members, owners and load permits whose keys a complete listing lacks. The caller must hold the
+// removeUnlisted removes members, owners, stored quarantines and load permits whose keys a complete listing lacks. The caller must hold the
 // lock.
 func (g *Gateway) removeUnlisted(now time.Time, listed map[string]bool) {
 	for _, member := range g.owners.Members() {
@@ -214,6 +214,11 @@
 			g.owners.RemoveClaim(runner)
 		}
 	}
+	for name := range g.crashes.stored {
+		if !listed[quarantinePrefix+name] {
+			delete(g.crashes.stored, name)
+		}
+	}
 	g.loadPermits.ApplyListing(listed)
 }
 
@@ -247,7 +252,7 @@
 	g.storeLog.UpdateValue(forwarded)
 }
 
-// applyCoordinationItem applies a change of a member key, an owner key or a load permit.
+// applyCoordinationItem applies a change of a member key, an owner key, a quarantine or a load permit.
 func (g *Gateway) applyCoordinationItem(now time.Time, item platform.Item) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -256,6 +261,8 @@
 		g.applyMember(now, item)
 	case strings.HasPrefix(item.Key, ownersPrefix):
 		g.applyOwner(item)
+	case strings.HasPrefix(item.Key, quarantinePrefix):
+		g.applyQuarantine(now, item)
 	case strings.HasPrefix(item.Key, pacing.Prefix):
 		g.loadPermits.SetTaken(item.Key, !item.Deleted)
 	}
