Ask the quarantine again before a request that waited is sent

A request that waits for a runner, an adapter or admission had passed the quarantine before the wait, and reached a runner although its retries had crashed three meanwhile.

The quarantine is now asked at each choice and after the load of an adapter.

--- a/transport/gateway/endpoint.go
+++ b/transport/gateway/endpoint.go
@@ -33,14 +33,15 @@
 // chooseEndpoint chooses an endpoint for a request, or returns the reason why none takes it. It waits while admission
 // control defers the request, while the adapter is loaded, and for a limited time while no runner holds the model.
 func (g *Gateway) chooseEndpoint(ctx context.Context, x *exchange) (dispatch.Choice, *lifecycle.NoEndpoint) {
-	if refusal := g.quarantineRefusal(clock.Now(), x); refusal != nil {
-		return dispatch.Choice{}, refusal
-	}
 	excluded := x.machine.Excluded()
 	waitUntil := x.request.ArrivedAt.Add(min(unloadedModelTimeout, x.request.Deadline.Sub(x.request.ArrivedAt)/2))
 	adapterRequests := 0
 	for {
 		now := clock.Now()
+		// The request may have waited, and other attempts of it may have crashed endpoints meanwhile.
+		if refusal := g.quarantineRefusal(now, x); refusal != nil {
+			return dispatch.Choice{}, refusal
+		}
 		g.mu.Lock()
 		runners := g.directory.OfService(x.service)
 		choice, ok := g.scheduler.Choose(now, &x.request, runners, excluded)
@@ -65,7 +66,7 @@
 		case ok && adapterRequests < maxAdapterRequests:
 			adapterRequests++
 			if g.requestAdapter(ctx, x, choice.Runner.ID) {
-				return choice, nil
+				return choice, g.quarantineRefusal(clock.Now(), x)
 			}
 			continue
 		case x.request.Unit.Model == "" || len(runners) == 0 || !now.Before(waitUntil):
