Do not take a stream that made progress for the cause of the next crash

A stream that ran beside the culprit and was resumed twice beside it could be refused for ten minutes, in place of being resumed.

Cause: whether a crash was early, and so likely caused by the request, was judged by the tokens of the present endpoint alone. A stream with 171 tokens that was resumed, and crashed before three more, counted as a likely cause. Suspects are kept apart on one VM only, so a request of another VM can run beside the culprit again.

A request that has delivered three tokens, or answered for 2 s on a gateway, on any endpoint is no longer a likely cause; it is refused after four crashes.

--- a/state/quarantine/runs.go
+++ b/state/quarantine/runs.go
@@ -21,8 +21,10 @@
 	endpoint    string
 	incarnation int64
 	sentAt      time.Time
-	// answeredAt is when the first byte of the answer arrived, and endedAt is when this VM gave the run up. Both are zero
-	// before.
+	// progressed means that the request had made progress on an earlier endpoint, so it can run.
+	progressed bool
+	// answeredAt is when the first byte of the answer arrived, and endedAt is when the result was known or this VM gave the
+	// run up. Both are zero before.
 	answeredAt time.Time
 	endedAt    time.Time
 }
@@ -34,10 +36,15 @@
 func (r *Run) Crash(endedAt time.Time) Crash {
 	return Crash{
 		Fingerprint: r.fingerprint, Endpoint: r.endpoint, Incarnation: r.incarnation, SentAt: r.sentAt, EndedAt: endedAt,
-		Early: r.answeredAt.IsZero() || endedAt.Sub(r.answeredAt) < progressTime,
+		Early: !r.Progressed(endedAt),
 	}
 }
 
+// Progressed reports whether the request has made progress by a time, here or before.
+func (r *Run) Progressed(now time.Time) bool {
+	return r.progressed || !r.answeredAt.IsZero() && now.Sub(r.answeredAt) >= progressTime
+}
+
 // Runs holds the runs whose endpoint may still turn out to have ended under them: those in progress, and those that were
 // given up without an answer. It is not safe for concurrent use.
 type Runs struct {
@@ -47,15 +54,17 @@
 // NewRuns returns an empty set of runs.
 func NewRuns() *Runs { return &Runs{byEndpoint: make(map[string][]*Run)} }
 
-// Begin records that a request is sent to an incarnation of an endpoint.
-func (r *Runs) Begin(now time.Time, f Fingerprint, endpoint string, incarnation int64) *Run {
+// Begin records that a request is sent to an incarnation of an endpoint. Earlier is the run that it continues, or nil.
+func (r *Runs) Begin(now time.Time, f Fingerprint, endpoint string, incarnation int64, earlier *Run) *Run {
 	run := &Run{fingerprint: f, endpoint: endpoint, incarnation: incarnation, sentAt: now}
+	run.progressed = earlier != nil && earlier.Progressed(earlier.endedAt)
 	r.byEndpoint[endpoint] = append(r.byEndpoint[endpoint], run)
 	return run
 }
 
 // End removes a run whose result is known.
-func (r *Runs) End(run *Run) {
+func (r *Runs) End(now time.Time, run *Run) {
+	run.endedAt = now
 	r.keep(run.endpoint, func(other *Run) bool { return other != run })
 }
 
--- a/state/quarantine/runs_test.go
+++ b/state/quarantine/runs_test.go
@@ -19,14 +19,14 @@
 		{"given up just before", start, func(runs *Runs, run *Run) { runs.GiveUp(restart.Add(-time.Second), run) }, 1},
 		{"given up after it", start, func(runs *Runs, run *Run) { runs.GiveUp(restart.Add(time.Second), run) }, 1},
 		{"given up long before", start.Add(-time.Minute), func(runs *Runs, run *Run) { runs.GiveUp(start.Add(-time.Second), run) }, 0},
-		{"answered", start, func(runs *Runs, run *Run) { runs.End(run) }, 0},
+		{"answered", start, func(runs *Runs, run *Run) { runs.End(restart, run) }, 0},
 		{"sent to the new incarnation", restart.Add(time.Millisecond), func(*Runs, *Run) {}, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			runs := NewRuns()
-			run := runs.Begin(test.sentAt, 7, "a", 1)
-			other := runs.Begin(test.sentAt, 7, "b", 1)
+			run := runs.Begin(test.sentAt, 7, "a", 1, nil)
+			other := runs.Begin(test.sentAt, 7, "b", 1, nil)
 			test.outcome(runs, run)
 			crashes := runs.EndpointStarted(restart.Add(2*time.Second), "a", restart)
 			assert.Equal(t, len(crashes), test.crashes)
@@ -36,24 +36,41 @@
 				assert.Assert(t, c.Early)
 			}
 			assert.Equal(t, len(runs.EndpointStarted(restart.Add(3*time.Second), "a", restart)), 0)
-			runs.End(other)
+			runs.End(restart, other)
 		})
 	}
 }
 
 func TestCrashAfterProgressIsNotEarly(t *testing.T) {
 	runs := NewRuns()
-	run := runs.Begin(start, 7, "a", 1)
+	run := runs.Begin(start, 7, "a", 1, nil)
 	assert.Assert(t, run.Crash(start.Add(time.Minute)).Early, "an endpoint that has not answered made no progress")
 	run.RecordFirstByte(start.Add(time.Minute))
 	assert.Assert(t, run.Crash(start.Add(time.Minute+time.Second)).Early)
 	assert.Assert(t, !run.Crash(start.Add(time.Minute+3*time.Second)).Early)
 }
 
+func TestResumedRequestThatMadeProgressIsTakenForTheCause(t *testing.T) {
+	runs := NewRuns()
+	first := runs.Begin(start, 7, "a", 1, nil)
+	first.RecordFirstByte(start.Add(time.Second))
+	runs.End(start.Add(time.Minute), first)
+	second := runs.Begin(start.Add(time.Minute), 7, "b", 1, first)
+	assert.Assert(t, !second.Crash(start.Add(time.Minute)).Early)
+	runs.End(start.Add(time.Minute), second)
+	third := runs.Begin(start.Add(time.Minute), 7, "c", 1, second)
+	assert.Assert(t, !third.Crash(start.Add(time.Minute)).Early)
+	short := runs.Begin(start, 8, "a", 1, nil)
+	short.RecordFirstByte(start)
+	runs.End(start.Add(time.Second), short)
+	later := runs.Begin(start.Add(time.Minute), 8, "b", 1, short)
+	assert.Assert(t, later.Crash(start.Add(time.Minute)).Early, "the wait between two runs is no progress")
+}
+
 func TestRunsThatWereGivenUpExpire(t *testing.T) {
 	runs := NewRuns()
-	runs.GiveUp(start, runs.Begin(start, 7, "a", 1))
-	runs.Begin(start, 7, "b", 1)
+	runs.GiveUp(start, runs.Begin(start, 7, "a", 1, nil))
+	runs.Begin(start, 7, "b", 1, nil)
 	runs.Expire(start.Add(time.Minute))
 	assert.Equal(t, len(runs.byEndpoint), 1)
 }
--- a/transport/entry/run.go
+++ b/transport/entry/run.go
@@ -31,9 +31,7 @@
 	// cancel ends the current attempt.
 	cancel context.CancelFunc
 	sentAt time.Time
-	// probationEnded reports whether the current endpoint has delivered probationTokens tokens.
-	probationEnded bool
-	relay          *relay
+	relay  *relay
 	// answerBody is a complete answer. relayedFailure is the endpoint's error answer, which is relayed to the caller.
 	answerBody     []byte
 	relayedFailure *failure
@@ -122,9 +120,7 @@
 	case completed:
 		table.recordCompleted(now, m.fingerprint, m.endpoint.name)
 	case m.lastFailure != nil && m.lastFailure.connectionLost && ctx.Err() == nil:
-		table.recordCrash(now, quarantine.Crash{
-			Fingerprint: m.fingerprint, Endpoint: m.endpoint.name, SentAt: m.sentAt, EndedAt: now, Early: !m.probationEnded,
-		})
+		table.recordCrash(now, m.crash(now))
 		m.entry.crashesChanged.Offer(struct{}{})
 	default:
 		table.endProbation(m.fingerprint, m.endpoint.name)
@@ -132,6 +128,15 @@
 	return event
 }
 
+// crash returns the record of the endpoint's end during the present attempt. A request that has delivered tokens, also
+// from an earlier endpoint, can run, so it is a less likely cause.
+func (m *modelRun) crash(now time.Time) quarantine.Crash {
+	return quarantine.Crash{
+		Fingerprint: m.fingerprint, Endpoint: m.endpoint.name, SentAt: m.sentAt, EndedAt: now,
+		Early: m.relay == nil || m.relay.tokens < probationTokens,
+	}
+}
+
 // deadlineFailure returns a failure if the chosen endpoint is not expected to meet the deadline of the first token.
 func (m *modelRun) deadlineFailure(endpoint chosenEndpoint, now time.Time) *failure {
 	deadline := m.request.headers.deadline
@@ -154,7 +159,7 @@
 func (m *modelRun) Send(ctx context.Context) lifecycle.Event {
 	request := httpcall.NewRequest("POST", m.endpoint.address, m.request.path, m.request.body)
 	request.Header.Set(caller.HeaderRequestID, m.exchange.id)
-	m.sentAt, m.probationEnded, m.lastFailure, m.relayedFailure = time.Now(), false, nil, nil
+	m.sentAt, m.lastFailure, m.relayedFailure = time.Now(), nil, nil
 	attempt, cancel := context.WithCancel(ctx)
 	m.cancel = cancel
 	call, err := m.entry.http.Start(attempt, m.endpoint.address, request, httpcall.Options{})
--- a/transport/entry/stream.go
+++ b/transport/entry/stream.go
@@ -124,7 +124,6 @@
 			return err
 		}
 		if m.relay.tokens == tokensBefore+probationTokens {
-			m.probationEnded = true
 			m.entry.table.endProbation(m.fingerprint, m.endpoint.name)
 		}
 		if err := m.deliver(data); err != nil {
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -87,7 +87,7 @@
 func (x *exchange) beginRun(now time.Time) {
 	runner := x.choice.Runner
 	x.run = x.gateway.crashes.runs.Begin(
-		now, quarantine.Fingerprint(x.request.Fingerprint), runner.ID, runner.Incarnation,
+		now, quarantine.Fingerprint(x.request.Fingerprint), runner.ID, runner.Incarnation, x.run,
 	)
 }
 
@@ -95,7 +95,7 @@
 // crashes of the request. The caller must hold the lock.
 func (x *exchange) endRun(now time.Time, succeeded bool) {
 	g := x.gateway
-	g.crashes.runs.End(x.run)
+	g.crashes.runs.End(now, x.run)
 	if !succeeded {
 		return
 	}
@@ -117,7 +117,7 @@
 		g.crashes.runs.GiveUp(now, x.run)
 		return
 	}
-	g.crashes.runs.End(x.run)
+	g.crashes.runs.End(now, x.run)
 	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
 		errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		g.recordCrash(now, x.request.ID, x.run.Crash(now), err)
