Bound the responses that are dropped before the response to a request

Bytes that are no answer may come without end until the caller closes. A runner that sends interim responses, or responses to other requests, kept the gateway reading at full speed until the deadline of the request: 550 to 650 MB in the 6 s of the test. An interim response other than the first was relayed as the final one.

At most eight responses are dropped, each with at most 1 MiB of body; interim ones are never the response to a request. The call then fails and its connection is reset. TestInterimResponseIsTakenForTheResponse got status 103 before.

--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -33,6 +33,12 @@
 	// concurrentBodyBytes is the body size in bytes above which the request is written while the response is read.
 	// Smaller requests fit into the TCP windows.
 	concurrentBodyBytes = 8 << 10
+	// maxSkippedResponses and maxSkippedBytes bound the interim responses and the late responses to other requests that
+	// are dropped before the response to a request.
+	maxSkippedResponses = 8
+	maxSkippedBytes     = 1 << 20
+	// minFinalStatus is the lowest status of a response that is not interim (RFC 9110, section 15.2).
+	minFinalStatus = 200
 	// untilCloseLength is the content length with which the HTTP library marks a body that ends with its connection.
 	untilCloseLength = -2
 )
@@ -143,21 +149,32 @@
 }
 
 func (e *Exchange) readResponse(options Options) error {
-	for {
+	for range maxSkippedResponses + 1 {
 		if err := resp.ReadHeaders(e.Response, e.conn); err != nil {
 			return &Error{Stage: StageHeader, Cause: err}
 		}
+		interim := e.Response.StatusCode() < minFinalStatus
 		if err := e.openBody(options); err != nil {
 			return err
 		}
-		if options.Accept == nil || options.Accept(&e.Response.Header) {
+		if !interim && (options.Accept == nil || options.Accept(&e.Response.Header)) {
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, e.Body()); err != nil {
+		if err := e.skipBody(); err != nil {
 			return &Error{Stage: StageHeader, Cause: err}
 		}
 		e.Response.Reset()
 	}
+	return &Error{Stage: StageHeader, Cause: errTooManySkipped}
+}
+
+// skipBody drops the body of a response that does not belong to the request.
+func (e *Exchange) skipBody() error {
+	n, err := io.Copy(io.Discard, io.LimitReader(e.Body(), maxSkippedBytes+1))
+	if err == nil && n > maxSkippedBytes {
+		return ErrBodyTooLarge
+	}
+	return err
 }
 
 // openBody prepares the reader of the body. The HTTP library reads only chunked bodies; it does not keep to the bounds
--- a/transport/httpcall/client_test.go
+++ b/transport/httpcall/client_test.go
@@ -145,3 +145,17 @@
 	assert.Equal(t, exchange.Response.StatusCode(), 503)
 	exchange.Abort()
 }
+
+func TestInterimResponseIsTakenForTheResponse(t *testing.T) {
+	p, address := newPeer(t)
+	p.serve(t, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"+
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright")
+	exchange, err := NewClient(time.Second).Start(
+		context.Background(), address, NewRequest("GET", address, "/", nil), Options{},
+	)
+	assert.NilError(t, err)
+	body, err := exchange.ReadAll(100)
+	assert.NilError(t, err)
+	assert.Equal(t, exchange.Response.StatusCode(), 200)
+	assert.Equal(t, string(body), "right")
+}
--- a/transport/httpcall/exchange.go
+++ b/transport/httpcall/exchange.go
@@ -20,6 +20,9 @@
 // ErrBodyTooLarge means that a response body exceeds the limit of the call.
 var ErrBodyTooLarge = errors.New("response body too large")
 
+// errTooManySkipped means that the endpoint sent only interim responses, or responses to other requests.
+var errTooManySkipped = errors.New("too many responses that do not belong to the request")
+
 // Fetch sends a request and reads the complete response within the timeout. A body of more than maxBody bytes is an
 // error.
 func (c *Client) Fetch(
