Tell a connection that keep-alive gave up from one that the endpoint closed

The HTTP library reports each failure before the first byte of a response as io.EOF. A gateway took a keep-alive timeout for the end of the runner, so a healthy runner behind a cut of more than ten seconds had crashed under each request that waited there; and a runner that sends empty lines without end had closed the connection.

The connection keeps the error of its last read, which becomes the cause of the failed call. TestLostConnectionIsTakenForAClosedOne and TestEmptyLinesAreTakenForAClosedConnection failed before.

--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -151,7 +151,7 @@
 func (e *Exchange) readResponse(options Options) error {
 	for range maxSkippedResponses + 1 {
 		if err := resp.ReadHeaders(e.Response, e.conn); err != nil {
-			return &Error{Stage: StageHeader, Cause: err}
+			return &Error{Stage: StageHeader, Cause: headerCause(e.conn, err)}
 		}
 		interim := e.Response.StatusCode() < minFinalStatus
 		if err := e.openBody(options); err != nil {
--- a/transport/httpcall/conn.go
+++ b/transport/httpcall/conn.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/pkg/errors"
 )
 
@@ -26,6 +28,8 @@
 	pending      []byte
 	readTimeout  time.Duration
 	writeTimeout time.Duration
+	// readError is the error of the last read from the socket, or nil.
+	readError error
 }
 
 func dial(address string, timeout time.Duration) (*connection, error) {
@@ -39,9 +43,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
+	return newConnection(conn), nil
+}
+
+func newConnection(conn net.Conn) *connection {
 	c := &connection{Conn: conn}
 	c.reader = bufio.NewReaderSize(timedReader{c}, readBufferBytes)
-	return c, nil
+	return c
 }
 
 // timedReader reads from the socket with the read timeout of the connection.
@@ -54,7 +62,25 @@
 			return 0, err
 		}
 	}
-	return t.c.Conn.Read(p)
+	n, err := t.c.Conn.Read(p)
+	t.c.readError = err
+	return n, err
+}
+
+// errNoResponse means that the endpoint sent bytes that are no response.
+var errNoResponse = errors.New("the endpoint sent no response in the protocol")
+
+// headerCause returns why no response header could be read. The HTTP library reports most failures as io.EOF.
+func headerCause(conn network.Conn, err error) error {
+	c, ok := conn.(*connection)
+	switch {
+	case ok && c.readError != nil:
+		return c.readError
+	case ok && errors.Is(err, io.EOF):
+		return errNoResponse
+	default:
+		return err
+	}
 }
 
 // Read returns buffered bytes first.
--- a/transport/httpcall/conn_test.go
+++ b/transport/httpcall/conn_test.go
@@ -1,11 +1,16 @@
 package httpcall
 
 import (
+	"context"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/protocol"
 	"gotest.tools/v3/assert"
 )
 
@@ -30,3 +35,42 @@
 	assert.Check(t, timeout > 5*time.Second, "keep-alive closes the connection after %v", timeout)
 	assert.Check(t, timeout <= 10*time.Second, "keep-alive detects a dead peer only after %v", timeout)
 }
+
+// failingConn fails each read.
+type failingConn struct {
+	net.Conn
+	err error
+}
+
+func (c failingConn) Read([]byte) (int, error) { return 0, c.err }
+
+// The HTTP library reports each failure before the first byte of a response as io.EOF. A connection that keep-alive
+// gave up says nothing about the endpoint, but one that the endpoint closed may mean that it crashed.
+func TestLostConnectionIsTakenForAClosedOne(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+	}{
+		{"keep-alive timeout", &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}},
+		{"reset", &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ECONNRESET)}},
+		{"closed", io.EOF},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := &Exchange{Response: &protocol.Response{}, conn: newConnection(failingConn{err: test.err})}
+			err := e.readResponse(Options{})
+			var failed *Error
+			assert.Assert(t, errors.As(err, &failed))
+			assert.Equal(t, failed.Cause, test.err)
+		})
+	}
+}
+
+func TestEmptyLinesAreTakenForAClosedConnection(t *testing.T) {
+	p, address := newPeer(t)
+	p.serveEndless(t, "", "\r\n")
+	_, err := NewClient(time.Second).Start(
+		context.Background(), address, NewRequest("GET", address, "/", nil), Options{},
+	)
+	assert.Assert(t, err != nil && !errors.Is(err, io.EOF), "%v", err)
+}
