Bound what a stream relays without a new event

Bytes that are no answer may come without end, also in the body of a stream: empty events, events without an identifier, comments, or one event again and again. A gateway read them at full speed until the deadline and relayed all but the last kind to the caller; only an event that never ends was bounded.

--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -14,7 +14,8 @@
 const (
 	// readBufferBytes is the size of one read. The connection's buffer is larger.
 	readBufferBytes = 4 << 10
-	// maxEventBytes is the largest size of an incomplete event of a stream.
+	// maxEventBytes is the largest size of an event of a stream, and of what comes between two events with a new
+	// identifier.
 	maxEventBytes = 1 << 20
 	// writeTimeout is the time limit for a write of events to a caller that reads slowly.
 	writeTimeout = 3 * time.Second
@@ -22,7 +23,7 @@
 
 var (
 	errCallerLeft     = errors.New("the caller closed the connection or reads too slowly")
-	errEventTooLong   = errors.New("the stream has an event longer than 1 MiB")
+	errEventTooLong   = errors.New("the stream has more than 1 MiB without a new event")
 	errTruncatedEvent = errors.New("the stream ended within an event")
 )
 
@@ -31,20 +32,27 @@
 	Flush() error
 }
 
+// callerConn is the part of the connection to the caller that the relay needs.
+type callerConn interface {
+	SetWriteTimeout(timeout time.Duration) error
+}
+
 // eventRelay relays whole events of a stream to the caller. It keeps the identifier of the last one, so that another
 // runner can resume the stream.
 type eventRelay struct {
-	context *app.RequestContext
-	writer  chunkWriter
+	conn   callerConn
+	writer chunkWriter
 	// lastEvent is the identifier of the last relayed event. lastID is the last numeric identifier, or -1.
 	lastEvent string
 	lastID    int64
+	// withoutProgress is the number of bytes since the last new identifier.
+	withoutProgress int
 }
 
 func newEventRelay(c *app.RequestContext) *eventRelay {
 	writer := resp.NewChunkedBodyWriter(&c.Response, c.GetWriter())
 	c.Response.HijackWriter(writer)
-	return &eventRelay{context: c, writer: writer, lastID: -1}
+	return &eventRelay{conn: c.GetConn(), writer: writer, lastID: -1}
 }
 
 // copy relays events until the stream ends. It skips events that an earlier attempt relayed.
@@ -53,6 +61,7 @@
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := body.Read(buffer)
+		r.withoutProgress += n
 		pending = append(pending, buffer[:n]...)
 		end := bytes.LastIndex(pending, []byte("\n\n"))
 		if end >= 0 {
@@ -68,7 +77,7 @@
 			return nil
 		case err != nil:
 			return err
-		case len(pending) > maxEventBytes:
+		case r.withoutProgress > maxEventBytes:
 			return errEventTooLong
 		}
 	}
@@ -87,7 +96,7 @@
 	if len(unsent) == 0 {
 		return nil
 	}
-	if err := r.context.GetConn().SetWriteTimeout(writeTimeout); err != nil {
+	if err := r.conn.SetWriteTimeout(writeTimeout); err != nil {
 		return errCallerLeft
 	}
 	if _, err := r.writer.Write(unsent); err != nil {
@@ -97,7 +106,7 @@
 		return errCallerLeft
 	}
 	// The timeout set above would apply to all later writes on the connection, also of other answers.
-	if err := r.context.GetConn().SetWriteTimeout(0); err != nil {
+	if err := r.conn.SetWriteTimeout(0); err != nil {
 		return errCallerLeft
 	}
 	return nil
@@ -115,7 +124,7 @@
 		}
 		r.lastID = id
 	}
-	r.lastEvent = text
+	r.lastEvent, r.withoutProgress = text, 0
 	return true
 }
 
