Bound the memory for bodies that are read whole

Bytes that are no answer may come without end, in the body of any answer. A gateway buffers an answer of up to 8 MiB before it relays it, so the endless bodies of a few dozen calls at once took more memory than its VM has: 24 calls held 239 MiB, of 284.

A client now buffers at most 32 MiB of bodies beyond the first 64 KiB of each; a longer one waits for its part, or for the end of its request. TestEndlessBodiesTakeAllMemory failed with 239 MiB in use and passes below 128.

--- a/load/caller.go
+++ b/load/caller.go
@@ -51,7 +51,7 @@
 	}
 	if exchange.Response.StatusCode() != statusOK {
 		c.outcome = string(exchange.Response.Header.Peek(caller.HeaderOutcome))
-		_, _ = exchange.ReadAll(maxAnswerBytes)
+		_, _ = exchange.ReadAll(ctx, maxAnswerBytes)
 		return
 	}
 	reader, err := sse.NewReader(exchange.Response)
@@ -104,7 +104,7 @@
 	}
 	status := exchange.Response.StatusCode()
 	outcome := string(exchange.Response.Header.Peek(caller.HeaderOutcome))
-	if _, err := exchange.ReadAll(maxAnswerBytes); err != nil {
+	if _, err := exchange.ReadAll(ctx, maxAnswerBytes); err != nil {
 		c.outcome = outcomeTruncated
 		return
 	}
--- a/transport/engineapi/client.go
+++ b/transport/engineapi/client.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return failedResult(err), err.Error()
 	}
-	response, err := exchange.ReadAll(maxResponseBytes)
+	response, err := exchange.ReadAll(ctx, maxResponseBytes)
 	if err != nil {
 		return ledger.Unknown, err.Error()
 	}
--- a/transport/entry/idempotency.go
+++ b/transport/entry/idempotency.go
@@ -121,7 +121,7 @@
 
 // recordAnswer reads the whole answer of a claimed request and records it for retries.
 func (s *serviceRun) recordAnswer(ctx context.Context) lifecycle.Event {
-	body, err := s.call.ReadAll(maxAnswerBytes)
+	body, err := s.call.ReadAll(ctx, maxAnswerBytes)
 	if err != nil {
 		return s.recordCallFailure(ctx, err)
 	}
--- a/transport/entry/run.go
+++ b/transport/entry/run.go
@@ -168,13 +168,13 @@
 	}
 	m.call = call
 	if status := call.Response.StatusCode(); status != statusOK {
-		return m.endAttempt(ctx, m.handleErrorStatus(status))
+		return m.endAttempt(ctx, m.handleErrorStatus(ctx, status))
 	}
 	m.entry.table.recordFirstByte(m.endpoint.name, time.Since(m.sentAt))
 	if m.request.parsed.Stream {
 		return lifecycle.Answered{}
 	}
-	body, err := call.ReadAll(maxAnswerBytes)
+	body, err := call.ReadAll(ctx, maxAnswerBytes)
 	if err == nil && !json.Valid(body) {
 		err = errors.New("the answer is not valid JSON")
 	}
@@ -248,9 +248,9 @@
 
 // handleErrorStatus handles an answer with an error status: the endpoint declined the request, failed, or rejected it
 // as invalid.
-func (m *modelRun) handleErrorStatus(status int) lifecycle.Event {
+func (m *modelRun) handleErrorStatus(ctx context.Context, status int) lifecycle.Event {
 	name := m.endpoint.name
-	body, err := m.call.ReadAll(maxAnswerBytes)
+	body, err := m.call.ReadAll(ctx, maxAnswerBytes)
 	if err != nil {
 		body = nil
 	}
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -142,7 +142,7 @@
 	header := &x.call.Response.Header
 	head := platform.ReadResponseHead(header)
 	if head.NotRun {
-		return x.handleDecline(head)
+		return x.handleDecline(ctx, head)
 	}
 	if status := header.StatusCode(); status >= statusOK && status < statusMultipleChoices && !head.Sealed {
 		x.call.Abort()
@@ -152,7 +152,7 @@
 		x.recordFirstByte()
 		return lifecycle.Answered{}
 	}
-	body, err := x.call.ReadAll(maxAnswerBytes)
+	body, err := x.call.ReadAll(ctx, maxAnswerBytes)
 	if err != nil {
 		return x.handleCallFailure(ctx, err)
 	}
@@ -167,8 +167,8 @@
 	return lifecycle.Answered{Failure: failure}
 }
 
-func (x *exchange) handleDecline(head platform.ResponseHead) lifecycle.Event {
-	_, err := x.call.ReadAll(maxAnswerBytes)
+func (x *exchange) handleDecline(ctx context.Context, head platform.ResponseHead) lifecycle.Event {
+	_, err := x.call.ReadAll(ctx, maxAnswerBytes)
 	if err != nil {
 		x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, true, err)
 	}
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -16,6 +16,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/panjf2000/ants/v2"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -33,6 +34,10 @@
 	// concurrentBodyBytes is the body size in bytes above which the request is written while the response is read.
 	// Smaller requests fit into the TCP windows.
 	concurrentBodyBytes = 8 << 10
+	// bufferedBodyBytes is how much of bodies that are read whole a client buffers at once, and unreservedBodyBytes is the
+	// part of each body that does not count.
+	bufferedBodyBytes   = 32 << 20
+	unreservedBodyBytes = 64 << 10
 	// maxSkippedResponses and maxSkippedBytes bound the interim responses and the late responses to other requests that
 	// are dropped before the response to a request.
 	maxSkippedResponses = 8
@@ -46,8 +51,10 @@
 // Client sends requests and keeps a pool of idle connections for each address.
 type Client struct {
 	dialTimeout time.Duration
-	mu          sync.Mutex
-	idle        map[netip.AddrPort][]idleConn
+	// bodies limits the memory for bodies that are read whole, in bytes.
+	bodies *semaphore.Weighted
+	mu     sync.Mutex
+	idle   map[netip.AddrPort][]idleConn
 }
 
 type idleConn struct {
@@ -61,6 +68,7 @@
 func NewClient(dialTimeout time.Duration) *Client {
 	return &Client{
 		dialTimeout: dialTimeout,
+		bodies:      semaphore.NewWeighted(bufferedBodyBytes),
 		idle:        make(map[netip.AddrPort][]idleConn),
 	}
 }
--- a/transport/httpcall/client_test.go
+++ b/transport/httpcall/client_test.go
@@ -96,7 +96,7 @@
 	options := Options{Accept: func(h *protocol.ResponseHeader) bool { return h.Get("X-Id") == "mine" }}
 	exchange, err := client.Start(context.Background(), address, NewRequest("GET", address, "/", nil), options)
 	assert.NilError(t, err)
-	body, err := exchange.ReadAll(100)
+	body, err := exchange.ReadAll(context.Background(), 100)
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), "right")
 }
@@ -124,7 +124,7 @@
 			client := NewClient(time.Second)
 			exchange, err := client.Start(context.Background(), address, NewRequest("GET", address, "/", nil), Options{})
 			assert.NilError(t, err)
-			body, err := exchange.ReadAll(1 << 20)
+			body, err := exchange.ReadAll(context.Background(), 1<<20)
 			assert.Equal(t, err != nil, test.failed, "%v", err)
 			if !test.failed {
 				assert.Equal(t, string(body), test.body)
@@ -154,7 +154,7 @@
 		context.Background(), address, NewRequest("GET", address, "/", nil), Options{},
 	)
 	assert.NilError(t, err)
-	body, err := exchange.ReadAll(100)
+	body, err := exchange.ReadAll(context.Background(), 100)
 	assert.NilError(t, err)
 	assert.Equal(t, exchange.Response.StatusCode(), 200)
 	assert.Equal(t, string(body), "right")
--- a/transport/httpcall/endless_test.go
+++ b/transport/httpcall/endless_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -76,7 +78,7 @@
 			options := Options{Accept: func(h *protocol.ResponseHeader) bool { return h.Get("X-Id") == "mine" }}
 			exchange, err := client.Start(ctx, address, NewRequest("GET", address, "/", nil), options)
 			if err == nil {
-				_, err = exchange.ReadAll(endlessBodyLimit)
+				_, err = exchange.ReadAll(ctx, endlessBodyLimit)
 			}
 			assert.Check(t, err != nil)
 			took := time.Since(startedAt)
@@ -86,3 +88,34 @@
 		})
 	}
 }
+
+func TestEndlessBodiesTakeAllMemory(t *testing.T) {
+	const calls, limit = 24, 8 << 20
+	p, address := newPeer(t)
+	for range calls {
+		p.serveEndless(t, "HTTP/1.1 200 OK\r\n\r\n", "x")
+	}
+	client := NewClient(time.Second)
+	g, err := group.New(context.Background())
+	assert.NilError(t, err)
+	var ended, largest atomic.Int64
+	for range calls {
+		g.Run("call", func(ctx context.Context) {
+			defer ended.Add(1)
+			exchange, err := client.Start(ctx, address, NewRequest("GET", address, "/", nil), Options{})
+			if assert.Check(t, err); err == nil {
+				_, err = exchange.ReadAll(ctx, limit)
+				assert.Check(t, errors.Is(err, ErrBodyTooLarge))
+			}
+		})
+	}
+	for ended.Load() < calls {
+		var memory runtime.MemStats
+		runtime.ReadMemStats(&memory)
+		largest.Store(max(largest.Load(), int64(memory.HeapInuse)))
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, g.Stop())
+	// A slice that grows needs its old and its new memory.
+	assert.Check(t, largest.Load() < 4*bufferedBodyBytes, "%d MiB in use", largest.Load()>>20)
+}
--- a/transport/httpcall/exchange.go
+++ b/transport/httpcall/exchange.go
@@ -38,28 +38,47 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := exchange.ReadAll(maxBody)
+	body, err := exchange.ReadAll(ctx, maxBody)
 	if err != nil {
 		return nil, withContextCause(ctx, err)
 	}
 	return &Result{Status: exchange.Response.StatusCode(), Header: &exchange.Response.Header, Body: body}, nil
 }
 
-// ReadAll reads the complete body and ends the exchange. A body of more than limit bytes is an error.
-func (e *Exchange) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(e.Body(), limit+1))
+// ReadAll reads the complete body and ends the exchange. A body of more than limit bytes is an error. If it is longer
+// than unreservedBodyBytes, ReadAll waits until the client may buffer the rest.
+func (e *Exchange) ReadAll(ctx context.Context, limit int64) ([]byte, error) {
+	body, err := e.readBody(ctx, limit)
+	if err == nil && int64(len(body)) > limit {
+		err = ErrBodyTooLarge
+	}
 	if err != nil {
 		e.Abort()
 		return nil, &Error{Stage: StageBody, Cause: err}
 	}
-	if int64(len(body)) > limit {
-		e.Abort()
-		return nil, &Error{Stage: StageBody, Cause: ErrBodyTooLarge}
-	}
 	e.Done()
 	return body, nil
 }
 
+// readBody reads at most one byte more than the limit.
+func (e *Exchange) readBody(ctx context.Context, limit int64) ([]byte, error) {
+	reader := io.LimitReader(e.Body(), limit+1)
+	start, err := io.ReadAll(io.LimitReader(reader, unreservedBodyBytes))
+	if err != nil || len(start) < unreservedBodyBytes {
+		return start, err
+	}
+	reserved := min(limit, bufferedBodyBytes)
+	if e.fixed != nil {
+		reserved = min(reserved, int64(e.fixed.remaining))
+	}
+	if err := e.client.bodies.Acquire(ctx, reserved); err != nil {
+		return nil, err
+	}
+	defer e.client.bodies.Release(reserved)
+	rest, err := io.ReadAll(reader)
+	return append(start, rest...), err
+}
+
 // NewRequest returns a request to an address. The URI is a path with an optional query. The body is JSON, or nil for
 // none.
 func NewRequest(method string, address netip.AddrPort, uri string, body []byte) *protocol.Request {
