Keep the share of a retry budget when members lapse

The slack of a retry budget is divided by the members in the store. When the store loses the keys of all members, each VM took the whole slack at once, beside what it had used: 414 retries within ten seconds where 58 are allowed, by nine VMs.

The slack is divided by the largest number of members within the window. TestRetriesExceedTheBudgetAfterMembersLapse failed with 414.

--- a/state/lifecycle/budget.go
+++ b/state/lifecycle/budget.go
@@ -1,6 +1,9 @@
 package lifecycle
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // RetryBudgetLimits limits the retries that all VMs together send to a service.
 type RetryBudgetLimits struct {
@@ -21,17 +24,40 @@
 	limits       RetryBudgetLimits
 	requestTimes []time.Time
 	retryTimes   []time.Time
-	// members is the number of VMs that share the slack.
+	// members holds the numbers of VMs that share the slack, the present one last.
+	members []memberCount
+}
+
+// memberCount is a number of VMs until a time, or the present number if the time is zero.
+type memberCount struct {
 	members int
+	until   time.Time
 }
 
 // NewRetryBudget returns the retry budget of a VM that has the whole slack for itself.
-func NewRetryBudget(limits RetryBudgetLimits) *RetryBudget {
-	return &RetryBudget{limits: limits, members: 1}
-}
+func NewRetryBudget(limits RetryBudgetLimits) *RetryBudget { return &RetryBudget{limits: limits} }
 
 // SetMembers sets the number of VMs that share the slack.
-func (b *RetryBudget) SetMembers(members int) { b.members = max(1, members) }
+func (b *RetryBudget) SetMembers(now time.Time, members int) {
+	if last := len(b.members) - 1; last >= 0 {
+		if b.members[last].members == members {
+			return
+		}
+		b.members[last].until = now
+	}
+	b.members = append(b.members, memberCount{members: members})
+}
+
+// sharing returns the largest number of VMs within the window. VMs that are not members any more may have used their
+// part, or may be alive without a key in the store.
+func (b *RetryBudget) sharing(from time.Time) int {
+	b.members = slices.DeleteFunc(b.members, func(c memberCount) bool { return !c.until.IsZero() && c.until.Before(from) })
+	largest := 1
+	for _, c := range b.members {
+		largest = max(largest, c.members)
+	}
+	return largest
+}
 
 // RecordRequest counts a request from a caller, but not its retries.
 func (b *RetryBudget) RecordRequest(now time.Time) {
@@ -42,7 +68,7 @@
 func (b *RetryBudget) Remaining(now time.Time) int {
 	from := now.Add(-b.limits.Window)
 	b.requestTimes, b.retryTimes = removeBefore(b.requestTimes, from), removeBefore(b.retryTimes, from)
-	allowed := b.limits.Ratio*float64(len(b.requestTimes)) + b.limits.Slack/float64(b.members)
+	allowed := b.limits.Ratio*float64(len(b.requestTimes)) + b.limits.Slack/float64(b.sharing(from))
 	return int(allowed*usableFraction) - len(b.retryTimes)
 }
 
--- a/state/lifecycle/machine_property_test.go
+++ b/state/lifecycle/machine_property_test.go
@@ -139,8 +139,8 @@
 
 func TestRetryBudgetIsKeptInEveryWindow(t *testing.T) {
 	b := NewRetryBudget(RetryBudgetLimits{Ratio: 0.2, Slack: 18, Window: 10 * time.Second})
-	b.SetMembers(9)
 	now := time.Unix(1_000_000, 0)
+	b.SetMembers(now, 9)
 	var arrived, retries []time.Time
 	for i := range 2000 {
 		now = now.Add(20 * time.Millisecond)
@@ -175,3 +175,31 @@
 	}
 	return later
 }
+
+// All VMs lose their members' keys at once, as after an outage of the store in which leases ended.
+func TestRetriesExceedTheBudgetAfterMembersLapse(t *testing.T) {
+	const members, slack = 9, 58
+	now := time.Unix(1_000_000, 0)
+	budgets := make([]*RetryBudget, members)
+	for i := range budgets {
+		budgets[i] = NewRetryBudget(RetryBudgetLimits{Ratio: 0.2, Slack: slack, Window: 10 * time.Second})
+		budgets[i].SetMembers(now, members)
+	}
+	takeAll := func() (taken int) {
+		for _, b := range budgets {
+			for b.Take(now) {
+				taken++
+			}
+		}
+		return taken
+	}
+	taken := takeAll()
+	now = now.Add(5 * time.Second)
+	for _, b := range budgets {
+		b.SetMembers(now, 1)
+	}
+	taken += takeAll()
+	assert.Assert(t, taken <= slack, "%d retries within a window, %d allowed", taken, slack)
+	now = now.Add(11 * time.Second)
+	assert.Equal(t, budgets[0].Remaining(now), 46, "a VM that stays alone has the whole slack")
+}
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -96,7 +96,7 @@
 		service: route.Pick(g.randomFraction()),
 	}
 	g.mu.Lock()
-	budget := g.retryBudget(x.service)
+	budget := g.retryBudget(now, x.service)
 	budget.RecordRequest(now)
 	g.recordDemand(now, x.service, x)
 	g.mu.Unlock()
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -194,15 +194,18 @@
 	g.directoryChanged = make(chan struct{})
 }
 
+func retryLimits(bounds settings.Bounds) lifecycle.RetryBudgetLimits {
+	return lifecycle.RetryBudgetLimits{
+		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow.Duration,
+	}
+}
+
 // retryBudget returns the retry budget of a service. The caller must hold the lock.
-func (g *Gateway) retryBudget(service string) *lifecycle.RetryBudget {
+func (g *Gateway) retryBudget(now time.Time, service string) *lifecycle.RetryBudget {
 	b := g.retryBudgets[service]
 	if b == nil {
-		bounds := g.bounds()
-		b = lifecycle.NewRetryBudget(lifecycle.RetryBudgetLimits{
-			Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow.Duration,
-		})
-		b.SetMembers(g.members())
+		b = lifecycle.NewRetryBudget(retryLimits(g.bounds()))
+		b.SetMembers(now, g.members())
 		g.retryBudgets[service] = b
 	}
 	return b
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -162,7 +162,7 @@
 				g.startOrders(id)
 			}
 		}
-		g.updateBudgetMembers()
+		g.updateBudgetMembers(now)
 	})
 }
 
@@ -208,9 +208,9 @@
 }
 
 // updateBudgetMembers sets the number of VMs that share the retry budgets. The caller must hold the lock.
-func (g *Gateway) updateBudgetMembers() {
+func (g *Gateway) updateBudgetMembers(now time.Time) {
 	for _, budget := range g.retryBudgets {
-		budget.SetMembers(g.members())
+		budget.SetMembers(now, g.members())
 	}
 }
 
