Keep the retries that were sent when the settings are read again

SIGHUP replaced the retry budgets, so the retries of the window were forgotten and the whole budget was there again: 138 retries within two seconds where 58 are allowed, after three reloads.

The limits are replaced and the history stays. TestRetriesExceedTheBudgetAfterItsLimitsAreSetAgain failed with 138.

--- a/state/lifecycle/budget.go
+++ b/state/lifecycle/budget.go
@@ -37,6 +37,9 @@
 // NewRetryBudget returns the retry budget of a VM that has the whole slack for itself.
 func NewRetryBudget(limits RetryBudgetLimits) *RetryBudget { return &RetryBudget{limits: limits} }
 
+// SetLimits replaces the limits. The requests and retries of the present window still count.
+func (b *RetryBudget) SetLimits(limits RetryBudgetLimits) { b.limits = limits }
+
 // SetMembers sets the number of VMs that share the slack.
 func (b *RetryBudget) SetMembers(now time.Time, members int) {
 	if last := len(b.members) - 1; last >= 0 {
--- a/state/lifecycle/machine_property_test.go
+++ b/state/lifecycle/machine_property_test.go
@@ -203,3 +203,21 @@
 	now = now.Add(11 * time.Second)
 	assert.Equal(t, budgets[0].Remaining(now), 46, "a VM that stays alone has the whole slack")
 }
+
+func TestRetriesExceedTheBudgetAfterItsLimitsAreSetAgain(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	limits := RetryBudgetLimits{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
+	b := NewRetryBudget(limits)
+	taken := 0
+	for range 3 {
+		for b.Take(now) {
+			taken++
+		}
+		b.SetLimits(limits)
+		now = now.Add(time.Second)
+	}
+	assert.Assert(t, taken <= 58, "%d retries within a window", taken)
+	limits.Slack = 0
+	b.SetLimits(limits)
+	assert.Assert(t, b.Remaining(now) <= 0)
+}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -180,12 +180,14 @@
 // ready reports whether the VM takes new requests: it has a configuration and is not stopping.
 func (g *Gateway) ready() bool { return g.table.Load() != nil && !g.stopping.Load() }
 
-// SetBounds replaces the bounds of the settings. The retry budgets start anew with them.
+// SetBounds replaces the bounds of the settings, also of the retry budgets.
 func (g *Gateway) SetBounds(bounds settings.Bounds) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.currentBounds.Store(&bounds)
-	clear(g.retryBudgets)
+	for _, budget := range g.retryBudgets {
+		budget.SetLimits(retryLimits(bounds))
+	}
 }
 
 // notifyDirectoryChange wakes the requests that wait for a change of the directory. The caller must hold the lock.
