Let the soak send a request that crashes runners

The soak's runners crash on one request, early or late, silently or not, under the same or a new id.

--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -44,7 +44,7 @@
 
 // TestSoak checks the guarantees to callers under random faults, one after another and overlapping. Gateways are
 // killed, stopped, paused and restarted; the store is down or slow or loses responses; links are cut, frozen or slow;
-// runners truncate streams and fail requests; configurations change.
+// runners truncate streams, fail requests and crash on one of them; configurations change.
 func TestSoak(t *testing.T) {
 	portsTaken.Add(int32(*soakSkippedPorts))
 	for i := range *soakSeeds {
@@ -58,8 +58,12 @@
 	s := &soak{
 		deployment: newDeployment(t), random: rand.New(rand.NewPCG(seed, 0)), version: 1, rejected: make(map[string]bool),
 	}
+	crash := modelrunner.Crash{
+		Body: crashingBody, After: time.Duration(s.random.IntN(2500)) * time.Millisecond, Silent: s.random.IntN(3) == 0,
+		NewID: s.random.IntN(2) == 0,
+	}
 	for _, id := range []string{"r1", "r2", "r3"} {
-		s.addRunner(id, modelService, "large", "small")
+		s.addRunner(id, modelService, "large", "small").SetCrash(crash)
 	}
 	for _, id := range []string{"p1", "p2", "p3"} {
 		s.addRunner(id, plainService)
@@ -74,6 +78,7 @@
 	for i := range 9 {
 		callers.Go(func() { s.sendRequests(ctx, vms[i%len(vms)], rand.New(rand.NewPCG(seed, uint64(i+1)))) })
 	}
+	callers.Go(func() { s.sendCrashingRequests(ctx, vms, rand.New(rand.NewPCG(seed, 0))) })
 	for until := time.Now().Add(*soakDuration); time.Now().Before(until); {
 		s.injectFault(vms)
 		group.Sleep(ctx, time.Duration(100+s.random.IntN(900))*time.Millisecond)
@@ -84,9 +89,52 @@
 	}
 	cancel()
 	callers.Wait()
+	s.checkQuarantine(vms)
 	s.checkGuarantees()
 }
 
+// crashingBody is the body of the request that crashes each runner that runs it.
+const crashingBody = "crash"
+
+// sendCrashingRequests sends the request that crashes runners to random gateways until the context ends.
+func (s *soak) sendCrashingRequests(ctx context.Context, vms []string, random *rand.Rand) {
+	for ctx.Err() == nil {
+		s.sendCrashingRequest(vms[random.IntN(len(vms))])
+		group.Sleep(ctx, time.Duration(200+random.IntN(800))*time.Millisecond)
+	}
+}
+
+func (s *soak) sendCrashingRequest(vm string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	response, err := testClient.Do(newRequest(ctx, s.gateways[vm], modelPath, "large", []byte(crashingBody)))
+	if err == nil {
+		s.recordResponse(response.Request.Header.Get(caller.AttemptHeader), "large", response)
+	}
+}
+
+// checkQuarantine checks that the request that crashes runners reaches few more when all faults have ended.
+func (s *soak) checkQuarantine(vms []string) {
+	reached := func() (count int) {
+		for _, runner := range s.runners {
+			for _, run := range runner.Runs() {
+				if run.Body == crashingBody {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	group.Sleep(context.Background(), learningTime)
+	before := reached()
+	for i := range 4 * len(vms) {
+		s.sendCrashingRequest(vms[i%len(vms)])
+		group.Sleep(context.Background(), 300*time.Millisecond)
+	}
+	late := reached() - before
+	assert.Check(s.t, late <= maxLateRetries, "the request that crashes runners reached %d, and %d after the faults", before, late)
+}
+
 // injectFault starts a random fault, ends faults, or changes the configuration.
 func (s *soak) injectFault(vms []string) {
 	vm := vms[s.random.IntN(len(vms))]
