Follow the store across a return from an older copy

In a drill the store may come back from a copy some seconds old and give out revisions again. Gateways read no era, so two dangers were real in tests on the state before: a watch that went on from a revision that was given out again missed a configuration without any 410, and both gateways answered 404 for its route; and a VM whose claims were forgotten sent no orders for 15 s, since a later revision of the claim was known.

The adapter puts the era before each revision and lease, so one value orders all changes. It drops late answers of an earlier era and sends no watch, transaction or lease of one. At a new era the store is listed anew. A VM keeps its authority over a runner if a sync within 1.5 s showed it; every other claim waits for validity and pause, also on a process that starts in an era that no VM has marked as settled. Fencing numbers carry the era. No permit for a load is given for the lifetime of one.

The property test of ownership draws returns to copies up to 6 s old.

--- a/coordination/ownership/tracker.go
+++ b/coordination/ownership/tracker.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/zinniaroute/zinniaroute/state/fleet"
 )
 
 // Claim is the store's record of a runner's owner.
@@ -14,8 +16,9 @@
 	Incarnation string
 	// Settled reports that no earlier owner can send orders any more.
 	Settled bool
-	// Revision is the store's revision of the claim's last write. It serves as the fencing number.
-	Revision uint64
+	// Revision is the store's revision of the claim's last write. It serves as the fencing number, which
+	// therefore does not fall when the store returns from an older copy.
+	Revision fleet.Revision
 }
 
 // Bounds are the durations that keep the orders of two owners of one runner apart.
@@ -45,6 +48,11 @@
 	firstSyncAt time.Time
 	// syncedAt is when this VM sent the last request that the store answered with all changes.
 	syncedAt time.Time
+	// eraBeganAt is when this VM learned that the store has returned from an older copy. The copy lacks claims that other
+	// VMs may still act on.
+	eraBeganAt time.Time
+	// confirmed holds the runners whose claim this VM held until then.
+	confirmed map[string]bool
 }
 
 // New returns a tracker without members or claims for a VM's process.
@@ -68,6 +76,39 @@
 	}
 }
 
+// BeginEra records that the store has returned from an older copy, without what was written since. What the store held
+// before is listed anew. This VM keeps its authority over a runner only if a sync within ClaimDelay showed it, since
+// no other VM can then have claimed the runner; every other claim waits as if another owner were still active.
+func (t *Tracker) BeginEra(now time.Time) {
+	t.confirmed = make(map[string]bool)
+	for runner := range t.claims {
+		if _, held := t.Authority(now, runner); held && now.Sub(t.syncedAt) < t.bounds.ClaimDelay {
+			t.confirmed[runner] = true
+		}
+	}
+	t.eraBeganAt = now
+	clear(t.claims)
+	clear(t.members)
+	clear(t.removedAt)
+}
+
+// DoubtClaims records that the store returned from an older copy before this process began to follow it, and too
+// recently for all VMs to have learned it.
+func (t *Tracker) DoubtClaims(now time.Time) { t.eraBeganAt, t.confirmed = now, nil }
+
+// EraSettled reports whether no VM acts on claims any more that the store lost when its era began.
+func (t *Tracker) EraSettled(now time.Time) bool { return !t.returning(now) }
+
+// returning reports whether another VM may still act on a claim that the store has lost.
+func (t *Tracker) returning(now time.Time) bool {
+	return !t.eraBeganAt.IsZero() && now.Sub(t.eraBeganAt) < t.orderDelay()
+}
+
+// inDoubt reports whether another VM may still act on a lost claim on this runner.
+func (t *Tracker) inDoubt(now time.Time, runner string) bool {
+	return t.returning(now) && !t.confirmed[runner]
+}
+
 // Valid reports whether this VM may send orders: it is a member, and its last sync is younger than Validity.
 func (t *Tracker) Valid(now time.Time) bool {
 	return t.members[t.self] && now.Sub(t.syncedAt) < t.bounds.Validity
@@ -137,17 +178,18 @@
 // Authority returns the fencing number that this VM's orders to a runner carry now, or false if it may not order it.
 func (t *Tracker) Authority(now time.Time, runner string) (uint64, bool) {
 	claim, ok := t.claims[runner]
-	if !ok || claim.VM != t.self || claim.Incarnation != t.incarnation || !t.Valid(now) || now.Before(t.orderAt[runner]) {
+	if !ok || claim.VM != t.self || claim.Incarnation != t.incarnation || !t.Valid(now) || now.Before(t.orderAt[runner]) ||
+		t.inDoubt(now, runner) {
 		return 0, false
 	}
-	return claim.Revision, true
+	return uint64(claim.Revision), true
 }
 
 // PendingClaim is a runner that this VM should claim.
 type PendingClaim struct {
 	Runner string
 	// Revision is the revision of the claim to replace, or zero if there is none.
-	Revision uint64
+	Revision fleet.Revision
 	// FormerOwner is the former owner, which must not be a member again when the claim is written, or "".
 	FormerOwner string
 	// OrderDelay is how long this VM must wait after the claim before it sends its first order.
@@ -172,7 +214,11 @@
 	claim, claimed := t.claims[runner]
 	switch {
 	case !claimed:
-		return PendingClaim{Runner: runner}, t.preferred(runner) == t.self
+		pending := PendingClaim{Runner: runner}
+		if t.inDoubt(now, runner) {
+			pending.OrderDelay = t.orderDelay()
+		}
+		return pending, t.preferred(runner) == t.self || t.returning(now) && t.confirmed[runner]
 	case claim.VM == t.self:
 		return t.ownPendingClaim(now, runner, claim)
 	case t.members[claim.VM]:
@@ -204,14 +250,14 @@
 	if claim.Incarnation == t.incarnation {
 		return pending, !claim.Settled && !now.Before(t.orderAt[runner])
 	}
-	if !claim.Settled {
+	if !claim.Settled || t.inDoubt(now, runner) {
 		pending.OrderDelay = t.orderDelay()
 	}
 	return pending, true
 }
 
 // RecordClaim records that the store accepted this VM's claim.
-func (t *Tracker) RecordClaim(now time.Time, pending PendingClaim, revision uint64) {
+func (t *Tracker) RecordClaim(now time.Time, pending PendingClaim, revision fleet.Revision) {
 	t.claims[pending.Runner] = Claim{
 		VM: t.self, Incarnation: t.incarnation, Settled: pending.OrderDelay == 0, Revision: revision,
 	}
--- a/coordination/ownership/tracker_property_test.go
+++ b/coordination/ownership/tracker_property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/zinniaroute/zinniaroute/standin/seeded"
+	"github.com/zinniaroute/zinniaroute/state/fleet"
 )
 
 var _ = seeded.SetFlags()
@@ -18,9 +20,41 @@
 
 // store models the part of the platform's store that holds members and owners.
 type store struct {
+	era      uint64
 	revision uint64
 	members  map[string]uint64
 	claims   map[string]Claim
+	// settledEra is the latest era that a VM has marked as settled.
+	settledEra uint64
+	// copies holds the earlier states of the store.
+	copies []storeCopy
+}
+
+type storeCopy struct {
+	at time.Time
+	store
+}
+
+// keepCopy copies the present state.
+func (s *store) keepCopy(now time.Time) {
+	s.copies = append(s.copies, storeCopy{now, store{
+		revision: s.revision, members: maps.Clone(s.members), claims: maps.Clone(s.claims), settledEra: s.settledEra,
+	}})
+}
+
+// returnFrom replaces the state by the copy from an earlier time. Its revisions are given out again.
+func (s *store) returnFrom(at time.Time) {
+	for len(s.copies) > 1 && s.copies[len(s.copies)-1].at.After(at) {
+		s.copies = s.copies[:len(s.copies)-1]
+	}
+	last := s.copies[len(s.copies)-1]
+	s.era++
+	s.revision, s.settledEra = last.revision, last.settledEra
+	s.members, s.claims = maps.Clone(last.members), make(map[string]Claim)
+	for runner, claim := range last.claims {
+		claim.Revision = fleet.NewRevision(s.era, claim.Revision.Number())
+		s.claims[runner] = claim
+	}
 }
 
 func (s *store) register(vm string) {
@@ -28,7 +62,7 @@
 	s.members[vm] = s.revision
 }
 
-func (s *store) claim(vm, incarnation string, w PendingClaim) (uint64, bool) {
+func (s *store) claim(vm, incarnation string, w PendingClaim) (fleet.Revision, bool) {
 	if s.claims[w.Runner].Revision != w.Revision {
 		return 0, false
 	}
@@ -36,8 +70,9 @@
 		return 0, false
 	}
 	s.revision++
-	s.claims[w.Runner] = Claim{VM: vm, Incarnation: incarnation, Settled: w.OrderDelay == 0, Revision: s.revision}
-	return s.revision, true
+	revision := fleet.NewRevision(s.era, s.revision)
+	s.claims[w.Runner] = Claim{VM: vm, Incarnation: incarnation, Settled: w.OrderDelay == 0, Revision: revision}
+	return revision, true
 }
 
 // testVM is a VM and its current process.
@@ -46,8 +81,10 @@
 	starts       int
 	tracker      *Tracker
 	disconnected bool
+	// era is the latest era of the store that the process has seen.
+	era uint64
 	// pending are the store's answers that have not yet arrived at the VM.
-	pending []func()
+	pending []func(now time.Time)
 }
 
 func (v *testVM) incarnation() string { return fmt.Sprint(v.name, "-", v.starts) }
@@ -55,7 +92,7 @@
 func (v *testVM) start() {
 	v.starts++
 	v.tracker = New(v.name, v.incarnation(), bounds)
-	v.pending = nil
+	v.pending, v.era = nil, 0
 }
 
 // list requests the whole content of the store. The answer takes effect with the next deliver.
@@ -69,8 +106,18 @@
 	for runner, claim := range s.claims {
 		claims[runner] = claim
 	}
-	tracker := v.tracker
-	v.pending = append(v.pending, func() {
+	tracker, era, settledEra := v.tracker, s.era, s.settledEra
+	v.pending = append(v.pending, func(now time.Time) {
+		if era < v.era {
+			return
+		}
+		switch {
+		case v.era == 0 && settledEra < era:
+			tracker.DoubtClaims(now)
+		case v.era > 0 && v.era < era:
+			tracker.BeginEra(now)
+		}
+		v.era = era
 		for _, vm := range tracker.Members() {
 			if !slices.Contains(members, vm) {
 				tracker.RemoveMember(requestedAt, vm)
@@ -86,19 +133,25 @@
 	})
 }
 
-func (v *testVM) deliver() {
+func (v *testVM) deliver(now time.Time) {
 	for _, apply := range v.pending {
-		apply()
+		apply(now)
 	}
 	v.pending = nil
 }
 
 // TestOrdersOfTwoOwnersAreSeparatedByPause checks that orders of two VMs to one runner are always at least the pause
-// apart and carry rising fencing numbers, while VMs are cut off from the store, restart, and lose their keys unseen.
+// apart and carry rising fencing numbers, while VMs are cut off from the store, restart, and lose their keys unseen, and
+// while the store returns from older copies.
 func TestOrdersOfTwoOwnersAreSeparatedByPause(t *testing.T) {
+	t.Run("store keeps all", func(t *testing.T) { checkOrdersAreSeparated(t, false) })
+	t.Run("store returns from older copies", func(t *testing.T) { checkOrdersAreSeparated(t, true) })
+}
+
+func checkOrdersAreSeparated(t *testing.T, returns bool) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1_000_000, 0)
-		s := &store{members: make(map[string]uint64), claims: make(map[string]Claim)}
+		s := &store{era: 1, settledEra: 1, members: make(map[string]uint64), claims: make(map[string]Claim)}
 		runners := []string{"r1", "r2"}
 		var vms []*testVM
 		for i := range 3 {
@@ -116,6 +169,10 @@
 		for i := range rapid.IntRange(50, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(10, 700).Draw(t, fmt.Sprint("wait", i))) * time.Millisecond)
 			v := vms[rapid.IntRange(0, len(vms)-1).Draw(t, "vm")]
+			s.keepCopy(now)
+			if returns && rapid.IntRange(0, 29).Draw(t, "return") == 0 {
+				s.returnFrom(now.Add(-time.Duration(rapid.IntRange(0, 6000).Draw(t, "age")) * time.Millisecond))
+			}
 			switch rapid.IntRange(0, 11).Draw(t, "event") {
 			case 0:
 				v.disconnected = !v.disconnected
@@ -126,20 +183,24 @@
 					v.start()
 				}
 			case 3:
-				v.deliver()
+				v.deliver(now)
 			default:
 				if v.disconnected {
 					break
 				}
 				v.list(s, now)
 				if rapid.IntRange(0, 3).Draw(t, "slow") > 0 {
-					v.deliver()
+					v.deliver(now)
 				}
 				if !v.tracker.Registered() && rapid.Bool().Draw(t, "register") {
 					s.register(v.name)
 				}
+				if v.era == s.era && v.tracker.EraSettled(now) {
+					s.settledEra = s.era
+				}
 				for _, w := range v.tracker.PendingClaims(now, runners) {
-					if revision, ok := s.claim(v.name, v.incarnation(), w); ok {
+					// The VM does not take the result of a claim for one if it was decided in an earlier era.
+					if revision, ok := s.claim(v.name, v.incarnation(), w); ok && v.era == s.era {
 						v.tracker.RecordClaim(now, w, revision)
 					}
 				}
--- a/coordination/relay/log.go
+++ b/coordination/relay/log.go
@@ -5,20 +5,22 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/zinniaroute/zinniaroute/state/fleet"
 )
 
 // Item is the last change of a key in the store: its value, or its removal.
 type Item struct {
-	Key      string `cbor:"1,keyasint"`
-	Value    []byte `cbor:"2,keyasint,omitempty"`
-	Revision uint64 `cbor:"3,keyasint"`
-	Deleted  bool   `cbor:"4,keyasint,omitempty"`
+	Key      string         `cbor:"1,keyasint"`
+	Value    []byte         `cbor:"2,keyasint,omitempty"`
+	Revision fleet.Revision `cbor:"3,keyasint"`
+	Deleted  bool           `cbor:"4,keyasint,omitempty"`
 }
 
 // View is the part of the store's content that one VM forwards to another.
 type View struct {
 	// Revision is the store's revision up to which the view is complete.
-	Revision uint64 `cbor:"1,keyasint"`
+	Revision fleet.Revision `cbor:"1,keyasint"`
 	// Full reports that Items holds the whole content: keys without an item do not exist.
 	Full  bool   `cbor:"2,keyasint,omitempty"`
 	Items []Item `cbor:"3,keyasint,omitempty"`
@@ -34,8 +36,8 @@
 	items      map[string]Item
 	tombstones []Item
 	// floor is the revision after which the log holds all changes. Zero means that nothing was listed yet.
-	floor    uint64
-	revision uint64
+	floor    fleet.Revision
+	revision fleet.Revision
 	// syncedAt is when the last request that the store answered was sent, or zero after Suspend.
 	syncedAt time.Time
 }
@@ -72,7 +74,7 @@
 
 // ApplyListing applies a complete listing at a revision: it removes the keys that are not present. Some removals before
 // the listing may be unknown, so VMs that are behind its revision get the whole content.
-func (l *Log) ApplyListing(present map[string]bool, revision uint64) {
+func (l *Log) ApplyListing(present map[string]bool, revision fleet.Revision) {
 	for key := range l.items {
 		if !present[key] {
 			delete(l.items, key)
@@ -83,7 +85,7 @@
 }
 
 // RecordSync records that the log is complete up to a revision, as of a request sent at requestedAt.
-func (l *Log) RecordSync(requestedAt time.Time, revision uint64) {
+func (l *Log) RecordSync(requestedAt time.Time, revision fleet.Revision) {
 	l.revision = max(l.revision, revision)
 	if requestedAt.After(l.syncedAt) {
 		l.syncedAt = requestedAt
@@ -94,10 +96,10 @@
 func (l *Log) Suspend() { l.syncedAt = time.Time{} }
 
 // Since returns the changes after a known revision, or the whole content if changes after it are missing from the log.
-// It returns false if the last sync is older than maxAge.
-func (l *Log) Since(now time.Time, known uint64, maxAge time.Duration) (View, bool) {
+// It returns false if the last sync is older than maxAge, or is of an earlier era of the store than the known revision.
+func (l *Log) Since(now time.Time, known fleet.Revision, maxAge time.Duration) (View, bool) {
 	age := now.Sub(l.syncedAt)
-	if l.floor == 0 || age > maxAge {
+	if l.floor == 0 || age > maxAge || known.Era() > l.revision.Era() {
 		return View{}, false
 	}
 	v := View{Revision: l.revision, Age: age, Full: known < l.floor}
--- a/coordination/relay/log_property_test.go
+++ b/coordination/relay/log_property_test.go
@@ -9,19 +9,20 @@
 	"pgregory.net/rapid"
 
 	"github.com/zinniaroute/zinniaroute/standin/seeded"
+	"github.com/zinniaroute/zinniaroute/state/fleet"
 )
 
 var _ = seeded.SetFlags()
 
 // contentCopy is a VM's copy of the store's content: the revision of each key.
 type contentCopy struct {
-	items map[string]uint64
-	known uint64
+	items map[string]fleet.Revision
+	known fleet.Revision
 }
 
 func (c *contentCopy) apply(v View) {
 	if v.Full {
-		c.items = make(map[string]uint64)
+		c.items = make(map[string]fleet.Revision)
 	}
 	for _, item := range v.Items {
 		if item.Deleted {
@@ -38,10 +39,10 @@
 func TestFollowerConvergesToStoreContent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1_000_000, 0)
-		stored := make(map[string]uint64)
-		revision := uint64(10)
+		stored := make(map[string]fleet.Revision)
+		revision := fleet.Revision(10)
 		logs := []*Log{NewLog(), NewLog()}
-		follower := &contentCopy{items: make(map[string]uint64)}
+		follower := &contentCopy{items: make(map[string]fleet.Revision)}
 		list := func(log *Log) {
 			present := make(map[string]bool)
 			for key, at := range stored {
@@ -75,7 +76,7 @@
 }
 
 func change(
-	t *rapid.T, logs []*Log, missed []bool, stored map[string]uint64, key string, revision *uint64, now time.Time,
+	t *rapid.T, logs []*Log, missed []bool, stored map[string]fleet.Revision, key string, revision *fleet.Revision, now time.Time,
 ) {
 	*revision++
 	item := Item{Key: key, Revision: *revision, Deleted: rapid.Bool().Draw(t, "deleted")}
@@ -116,3 +117,14 @@
 	_, ok = l.Since(now.Add(time.Second), 0, time.Second)
 	assert.Assert(t, ok)
 }
+
+func TestViewOfAnEarlierEraIsForwarded(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	l := NewLog()
+	l.ApplyListing(nil, fleet.NewRevision(1, 500))
+	l.RecordSync(now, fleet.NewRevision(1, 500))
+	_, ok := l.Since(now, fleet.NewRevision(1, 499), time.Second)
+	assert.Assert(t, ok)
+	_, ok = l.Since(now, fleet.NewRevision(2, 3), time.Second)
+	assert.Assert(t, !ok, "a VM that knows a later era must read the store itself")
+}
--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -189,6 +189,16 @@
 		[]string{"vm", "change", "revision"},
 		"Nothing.",
 	}
+	StoreReturned = Event{
+		410, logrus.WarnLevel, "store returned from an older copy; its content is listed anew",
+		[]string{"known", "revision", "knownAgeMs"},
+		"Nothing; each VM writes again what it had written. Orders to some runners pause for eleven seconds.",
+	}
+	EraNotMarked = Event{
+		411, logrus.WarnLevel, "settled era of the store could not be read or written; the write is retried",
+		[]string{"era", "error"},
+		"Check the store. Until then a VM that starts waits eleven seconds before it orders runners.",
+	}
 	OwnerChanged = Event{
 		305, logrus.InfoLevel, "owner of a runner changes",
 		[]string{"runner", "change", "revision", "waitMs"},
@@ -282,7 +292,7 @@
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined,
 		RequestServed, RequestNotServed, LogLinesDropped,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
-		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, SettingsReloaded, RegistrationFailed, MemberChanged,
+		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -18,6 +18,7 @@
 	"github.com/zinniaroute/zinniaroute/document"
 	"github.com/zinniaroute/zinniaroute/standin/caller"
 	"github.com/zinniaroute/zinniaroute/standin/fault"
+	"github.com/zinniaroute/zinniaroute/standin/metadata"
 	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
 	"github.com/zinniaroute/zinniaroute/standin/proxy"
 	"github.com/zinniaroute/zinniaroute/transport/group"
@@ -36,14 +37,16 @@
 	random  *rand.Rand
 	version int
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// copies holds copies of the store, the latest last, from which it may return.
+	copies     []metadata.Copy
 	rejected   map[string]bool
 	served     int
 	violations []string
 }
 
 // TestSoak checks the guarantees to callers under random faults, one after another and overlapping. Gateways are
-// killed, stopped, paused and restarted; the store is down or slow or loses responses; links are cut, frozen or slow;
+// killed, stopped, paused and restarted; the store is down or slow, loses responses, or returns from an older copy; links are cut, frozen or slow;
 // runners truncate streams, fail requests and crash on one of them; configurations change.
 func TestSoak(t *testing.T) {
 	portsTaken.Add(int32(*soakSkippedPorts))
@@ -80,6 +83,7 @@
 	}
 	callers.Go(func() { s.sendCrashingRequests(ctx, vms, rand.New(rand.NewPCG(seed, 0))) })
 	for until := time.Now().Add(*soakDuration); time.Now().Before(until); {
+		s.copies = append(s.copies, s.store.Copy())
 		s.injectFault(vms)
 		group.Sleep(ctx, time.Duration(100+s.random.IntN(900))*time.Millisecond)
 	}
@@ -139,7 +143,7 @@
 func (s *soak) injectFault(vms []string) {
 	vm := vms[s.random.IntN(len(vms))]
 	runner := []string{"r1", "r2", "r3", "p1", "p2", "p3"}[s.random.IntN(6)]
-	switch s.random.IntN(12) {
+	switch s.random.IntN(13) {
 	case 0:
 		s.restartGateway(vm, syscall.SIGKILL)
 	case 1:
@@ -164,6 +168,9 @@
 		s.runnerLinks[runner].Set(s.randomLinkFaults())
 	case 10:
 		s.endLinkFaults()
+	case 11:
+		// The copies are half a second apart on average.
+		s.store.ReturnFrom(s.copies[max(0, len(s.copies)-1-s.random.IntN(10))])
 	default:
 		s.version++
 		s.configure(s.version, 10_000, plainRoute(fmt.Sprint("v", s.version)))
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -47,7 +47,7 @@
 	AdapterUses   []AdapterUse                     `cbor:"4,keyasint,omitempty"`
 	OwnedRunners  []OwnedRunner                    `cbor:"5,keyasint,omitempty"`
 	// SyncedRevision is the revision of the store up to which the VM is synced.
-	SyncedRevision uint64 `cbor:"6,keyasint,omitempty"`
+	SyncedRevision fleet.Revision `cbor:"6,keyasint,omitempty"`
 	// Aggregator is the aggregator process that answered last. ReceivedChanges is the number of changes of runners that
 	// it had sent by then.
 	Aggregator      string `cbor:"7,keyasint,omitempty"`
--- a/standin/metadata/server.go
+++ b/standin/metadata/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -31,6 +32,7 @@
 // Start serves on the listener in the group.
 func (s *Server) Start(g *group.Group, listener net.Listener) {
 	server := httpserve.NewServer(listener, httpserve.DefaultBounds(), false)
+	server.Use(s.nameEra)
 	server.Use(s.Faults.Handle)
 	server.GET("/zinniaroute/kv-range", s.list)
 	server.GET("/zinniaroute/kv-watch", s.watch)
@@ -42,6 +44,25 @@
 	server.Start(g, "metadata stand-in")
 }
 
+// nameEra adds the header with the store's era to each answer.
+func (s *Server) nameEra(ctx context.Context, c *app.RequestContext) {
+	c.Next(ctx)
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	c.Header("Store-Era", strconv.FormatUint(s.store.era, 10))
+}
+
+// Copy returns the present content, from which the store can return later.
+func (s *Server) Copy() Copy { return s.store.copy() }
+
+// ReturnFrom replaces the content by an earlier copy. What was written since is lost, leases too, and revisions are
+// given out again. The operator and the runners write again what they had written: the keys with their prefixes.
+func (s *Server) ReturnFrom(c Copy) {
+	s.store.returnFrom(c, func(key string) bool {
+		return strings.HasPrefix(key, "op/") || strings.HasPrefix(key, "servers/")
+	})
+}
+
 // Put writes a key without a lease and returns the new revision.
 func (s *Server) Put(key string, value []byte) uint64 {
 	_, revision, _ := s.store.commit(time.Now(), transaction{Puts: []putOperation{{Key: key, Value: value}}})
--- a/standin/metadata/store.go
+++ b/standin/metadata/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -51,10 +52,49 @@
 	leases              map[uint64]leaseState
 	lastLease           uint64
 	changed             chan struct{}
+	// era rises by one each time the store returns from a copy. Zero means that the store names none.
+	era uint64
+}
+
+// Copy is the content of the store at one time.
+type Copy struct {
+	revision  uint64
+	items     map[string]item
+	history   []item
+	leases    map[uint64]leaseState
+	lastLease uint64
+}
+
+func (s *store) copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{
+		revision: s.revision, items: maps.Clone(s.items), history: slices.Clone(s.history), leases: maps.Clone(s.leases),
+		lastLease: s.lastLease,
+	}
+}
+
+// returnFrom replaces the content by a copy. Keys for which writtenAgain returns true get the value that was lost,
+// since their writers write them again.
+func (s *store) returnFrom(c Copy, writtenAgain func(key string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := s.items
+	s.revision, s.items, s.history = c.revision, maps.Clone(c.items), slices.Clone(c.history)
+	s.leases, s.lastLease = maps.Clone(c.leases), c.lastLease
+	s.era++
+	for key, i := range lost {
+		if writtenAgain(key) && !slices.Equal(s.items[key].Value, i.Value) {
+			s.revision++
+			s.put(putOperation{Key: key, Value: i.Value})
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func newStore() *store {
-	return &store{revision: 1, items: make(map[string]item), leases: make(map[uint64]leaseState), changed: make(chan struct{})}
+	return &store{revision: 1, items: make(map[string]item), leases: make(map[uint64]leaseState), changed: make(chan struct{}), era: 1}
 }
 
 func (s *store) recordEvent(i item) {
@@ -168,7 +208,7 @@
 	for {
 		s.mu.Lock()
 		s.expire(now())
-		if after < s.oldestWatchRevision {
+		if after < s.oldestWatchRevision || after > s.revision {
 			s.mu.Unlock()
 			return nil, 0, false
 		}
--- a/state/fleet/directory.go
+++ b/state/fleet/directory.go
@@ -46,6 +46,8 @@
 	if old.Revision > runner.Revision || old.Incarnation > runner.Incarnation {
 		return ChangeNone
 	}
+	// A store that returned from an older copy may have lost that the runner drains, which it does not undo.
+	runner.Draining = runner.Draining || old.Draining && old.Incarnation == runner.Incarnation
 	change := ChangeNone
 	switch {
 	case old.Incarnation != runner.Incarnation:
--- a/state/fleet/directory_test.go
+++ b/state/fleet/directory_test.go
@@ -9,7 +9,7 @@
 
 var now = time.Unix(1_000_000, 0)
 
-func entry(revision uint64, incarnation int64, draining bool, adapters ...string) Runner {
+func entry(revision Revision, incarnation int64, draining bool, adapters ...string) Runner {
 	return Runner{
 		ID: "r", Service: "s", Revision: revision, Incarnation: incarnation, Draining: draining,
 		Holdings: Holdings{Models: []LoadedModel{{Model: "m", Adapters: adapters}}},
@@ -59,3 +59,13 @@
 	d.RemoveUnit(now, "r", Unit{Model: "m"})
 	assert.Assert(t, !d.Get("r").Holdings.Has(Unit{Model: "m"}))
 }
+
+func TestRunnerThatDrainsIsReadyAgainAfterTheStoreReturns(t *testing.T) {
+	d := NewDirectory()
+	now := time.Unix(1_000_000, 0)
+	d.Put(now, entry(NewRevision(1, 5), 1, true))
+	d.Put(now, entry(NewRevision(2, 3), 1, false))
+	assert.Assert(t, d.Get("r").Draining)
+	d.Put(now, entry(NewRevision(2, 4), 2, false))
+	assert.Assert(t, !d.Get("r").Draining, "a new incarnation does not drain")
+}
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -100,5 +100,5 @@
 	// LastSeen is the time at which the latest entry arrived.
 	LastSeen time.Time `json:"Seen"`
 	// Revision is the store's revision of the latest entry.
-	Revision uint64
+	Revision Revision
 }
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -107,7 +107,7 @@
 		report.AdapterUses = append(report.AdapterUses, vm.AdapterUse{Runner: ru.Runner, Unit: ru.Unit, Age: age})
 	}
 	for id, o := range g.ownedRunners {
-		if _, hasAuthority := g.owners.Authority(now, id); hasAuthority && o.ledger.Known() {
+		if _, hasAuthority := g.authority(now, id); hasAuthority && o.ledger.Known() {
 			report.OwnedRunners = append(report.OwnedRunners, g.ownedState(id, o))
 		}
 	}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -67,7 +67,7 @@
 	// storeLog is the copy of the store's content from which this VM forwards views.
 	storeLog *relay.Log
 	// knownRevision is the store's revision up to which this VM knows the content.
-	knownRevision uint64
+	knownRevision fleet.Revision
 	// lastViewAt is when the aggregator last forwarded a view, or zero if this VM must read the store.
 	lastViewAt time.Time
 	// aggregatorIncarnation is the incarnation of the aggregator process that last answered, and receivedChanges is the
@@ -80,8 +80,13 @@
 	runnerEntries map[string]fleet.Runner
 	crashes       crashState
 	owners        *ownership.Tracker
-	ownedRunners  map[string]*ownedRunner
-	loadPermits   *pacing.Permits
+	// settledEra is the value of settledEraKey, and settledEraRevision the revision of its last write.
+	settledEra         uint64
+	settledEraRevision fleet.Revision
+	// loadsBlockedUntil is the time until which the store may lack permits of loads that count.
+	loadsBlockedUntil time.Time
+	ownedRunners      map[string]*ownedRunner
+	loadPermits       *pacing.Permits
 	// orphanedSince is the time since when a runner that this VM owns has had no entry, by runner.
 	orphanedSince map[string]time.Time
 	demandMeters  map[string]*allocation.Meter
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -54,7 +54,7 @@
 
 // keepRegistered writes the VM's key to the store, renews its lease, and writes it again after a loss.
 func (g *Gateway) keepRegistered(ctx context.Context) error {
-	var lease uint64
+	var lease platform.Lease
 	return group.Every(ctx, renewInterval/4, func(time.Time) {
 		now := clock.Now()
 		g.mu.Lock()
@@ -81,7 +81,7 @@
 
 // renewLease renews the lease of the VM's key and returns it, or zero if it has ended. After any other failure the next
 // tick retries; the failure is not logged here, since listAndWatch detects and logs the loss of the store.
-func (g *Gateway) renewLease(ctx context.Context, now time.Time, lease uint64) uint64 {
+func (g *Gateway) renewLease(ctx context.Context, now time.Time, lease platform.Lease) platform.Lease {
 	err := g.store.RenewLease(ctx, lease)
 	switch {
 	case err == nil:
@@ -92,7 +92,7 @@
 	return lease
 }
 
-func (g *Gateway) writeMember(ctx context.Context) (uint64, error) {
+func (g *Gateway) writeMember(ctx context.Context) (platform.Lease, error) {
 	lease, _, err := g.store.GrantLease(ctx, memberLeaseTTL)
 	if err != nil {
 		return 0, err
@@ -102,6 +102,7 @@
 		return 0, errors.Wrap(err, "encode member")
 	}
 	_, err = g.store.Commit(ctx, platform.Transaction{
+		Era:    fleet.Revision(lease).Era(),
 		Writes: []platform.Write{{Key: membersPrefix + g.settings.Name, Value: value, Lease: lease}},
 	})
 	return lease, err
@@ -150,11 +151,13 @@
 		g.mu.Lock()
 		runners := g.engineRunners()
 		claims := g.owners.PendingClaims(now, runners)
+		era := g.knownRevision.Era()
 		g.mu.Unlock()
 		for _, w := range claims {
-			g.claimRunner(ctx, w)
+			g.claimRunner(ctx, era, w)
 		}
 		g.releaseOrphans(ctx)
+		g.markEraSettled(ctx)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		for _, id := range runners {
@@ -181,7 +184,7 @@
 	return ids
 }
 
-func (g *Gateway) claimRunner(ctx context.Context, w ownership.PendingClaim) {
+func (g *Gateway) claimRunner(ctx context.Context, era uint64, w ownership.PendingClaim) {
 	value, err := json.Marshal(ownerValue{VM: g.settings.Name, Incarnation: g.incarnation, Settled: w.OrderDelay == 0})
 	if err != nil {
 		g.log.Emit(eventlog.OwnerChanged, w.Runner, err.Error(), 0, 0)
@@ -193,6 +196,7 @@
 		conditions = append(conditions, platform.Condition{Key: membersPrefix + w.FormerOwner})
 	}
 	revision, err := g.store.Commit(ctx, platform.Transaction{
+		Era:        era,
 		Conditions: conditions,
 		Writes:     []platform.Write{{Key: key, Value: value}},
 	})
@@ -203,6 +207,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.knownRevision.Era() != era {
+		return
+	}
 	g.owners.RecordClaim(clock.Now(), w, revision)
 	g.log.Emit(eventlog.OwnerChanged, w.Runner, "claimed from "+w.FormerOwner, revision, w.OrderDelay.Milliseconds())
 }
@@ -223,7 +230,7 @@
 	orphans := make(map[string]uint64)
 	g.mu.Lock()
 	for _, runner := range g.owners.Runners() {
-		fence, hasAuthority := g.owners.Authority(now, runner)
+		fence, hasAuthority := g.authority(now, runner)
 		switch since, isOrphan := g.orphanedSince[runner]; {
 		case g.directory.Get(runner) != nil || !hasAuthority:
 			delete(g.orphanedSince, runner)
@@ -242,7 +249,8 @@
 // releaseRunner removes the owner key of a runner if its last write is still the one with this fence.
 func (g *Gateway) releaseRunner(ctx context.Context, runner string, fence uint64) {
 	_, err := g.store.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{{Key: ownersPrefix + runner, Revision: fence}},
+		Era:        fleet.Revision(fence).Era(),
+		Conditions: []platform.Condition{{Key: ownersPrefix + runner, Revision: fleet.Revision(fence)}},
 		Removals:   []string{ownersPrefix + runner},
 	})
 	if err != nil && !errors.Is(err, platform.ErrConflict) {
@@ -257,6 +265,8 @@
 	permits := pacing.PermitCount(perSecond, window, g.bounds().LoadOverage)
 	g.mu.Lock()
 	key, free := g.loadPermits.Free(service, permits, g.random.IntN(max(1, permits)))
+	free = free && !clock.Now().Before(g.loadsBlockedUntil)
+	era := g.knownRevision.Era()
 	g.mu.Unlock()
 	if !free {
 		return false
@@ -264,6 +274,7 @@
 	lease, _, err := g.store.GrantLease(ctx, pacing.PermitLifetime(window))
 	if err == nil {
 		_, err = g.store.Commit(ctx, platform.Transaction{
+			Era:        era,
 			Conditions: []platform.Condition{{Key: key}},
 			Writes:     []platform.Write{{Key: key, Value: []byte(g.settings.Name), Lease: lease}},
 		})
--- a/transport/gateway/metrics.go
+++ b/transport/gateway/metrics.go
@@ -24,6 +24,8 @@
 	notServedByCause = expvar.NewMap("gatewayNotServed")
 	ordersSent       = expvar.NewMap("gatewayOrders")
 	latencies        = expvar.NewMap("gatewayLatency")
+	// storeReturns counts the returns of the store from an older copy.
+	storeReturns = expvar.NewInt("storeReturns")
 	// crashRecords counts by event: crashes recorded here, records dropped after a complete answer, requests quarantined,
 	// and requests refused because of it.
 	crashRecords = expvar.NewMap("gatewayCrashRecords")
--- a/transport/gateway/operations.go
+++ b/transport/gateway/operations.go
@@ -34,10 +34,10 @@
 	// ConfigurationVersion is the version of the configuration in force, or zero if there is none.
 	ConfigurationVersion uint64 `json:"configuration"`
 	// StoreRevision is the store's revision that is known as of StoreSyncedAt.
-	StoreRevision uint64    `json:"storeRevision"`
-	StoreSyncedAt time.Time `json:"storeHeard"`
-	Aggregator    string    `json:"gatherer"`
-	Members       []string  `json:"members"`
+	StoreRevision fleet.Revision `json:"storeRevision"`
+	StoreSyncedAt time.Time      `json:"storeHeard"`
+	Aggregator    string         `json:"gatherer"`
+	Members       []string       `json:"members"`
 	// RemainingRetries is the number of retries that may be sent now, by service.
 	RemainingRetries map[string]int `json:"repeatsLeft"`
 	Runners          []RunnerDump   `json:"runners"`
--- a/transport/gateway/orders.go
+++ b/transport/gateway/orders.go
@@ -103,7 +103,7 @@
 		return 0, false
 	}
 	engine := g.engineOf(runner)
-	fence, hasAuthority := g.owners.Authority(now, id)
+	fence, hasAuthority := g.authority(now, id)
 	if engine == nil || !hasAuthority {
 		o.ledger.Invalidate()
 		g.mu.Unlock()
@@ -231,7 +231,7 @@
 			g.mu.Unlock()
 			return vm.OwnedRunner{}, false, "not the owner"
 		}
-		if _, hasAuthority := g.owners.Authority(now, runner); !hasAuthority || !o.ledger.Known() {
+		if _, hasAuthority := g.authority(now, runner); !hasAuthority || !o.ledger.Known() {
 			g.mu.Unlock()
 			return vm.OwnedRunner{}, false, "no authority, or the runner's state is not known"
 		}
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -289,6 +289,7 @@
 	g.mu.Lock()
 	ttl := min(g.crashes.tracker.RetryAfter(now, f), quarantine.SuspicionTTL)
 	value, err := json.Marshal(g.crashes.tracker.Crashes(now, f))
+	era := g.knownRevision.Era()
 	g.mu.Unlock()
 	if err != nil {
 		return errors.Wrap(err, "encode crashes")
@@ -302,13 +303,9 @@
 	}
 	key := quarantinePrefix + f.String()
 	_, err = g.store.Commit(ctx, platform.Transaction{
+		Era:        era,
 		Conditions: []platform.Condition{{Key: key}},
 		Writes:     []platform.Write{{Key: key, Value: value, Lease: lease}},
 	})
-	if err == nil || errors.Is(err, platform.ErrConflict) {
-		g.mu.Lock()
-		g.crashes.stored[f.String()] = true
-		g.mu.Unlock()
-	}
 	return err
 }
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -97,7 +97,7 @@
 }
 
 // listStore applies the store's whole content and returns the revision after which a watch continues.
-func (g *Gateway) listStore(ctx context.Context, afterOutage bool) (uint64, error) {
+func (g *Gateway) listStore(ctx context.Context, afterOutage bool) (fleet.Revision, error) {
 	requestedAt := clock.Now()
 	items, revision, err := g.store.List(ctx, "")
 	if err != nil {
@@ -109,6 +109,13 @@
 		grace = entryReturnGrace
 	}
 	g.mu.Lock()
+	if revision.Era() < g.knownRevision.Era() {
+		g.mu.Unlock()
+		return 0, platform.ErrHistoryLost
+	}
+	if g.beginEra(now, revision) {
+		grace = entryReturnGrace
+	}
 	g.graceUntil = now.Add(grace)
 	g.mu.Unlock()
 	present := make(map[string]bool, len(items))
@@ -139,14 +146,15 @@
 
 // recordSync records that this VM has applied the store's content up to a revision, as of a request sent at a time. The
 // caller must hold the lock.
-func (g *Gateway) recordSync(requestedAt time.Time, revision uint64) {
+func (g *Gateway) recordSync(requestedAt time.Time, revision fleet.Revision) {
 	g.storeLog.RecordSync(requestedAt, revision)
 	g.recordRevision(requestedAt, revision)
 }
 
 // recordRevision records that this VM knows the store's content up to a revision, as of a request that this VM or the
 // aggregator sent. The caller must hold the lock.
-func (g *Gateway) recordRevision(requestedAt time.Time, revision uint64) {
+func (g *Gateway) recordRevision(requestedAt time.Time, revision fleet.Revision) {
+	g.checkSettledEra(requestedAt, revision)
 	g.knownRevision = max(g.knownRevision, revision)
 	if requestedAt.After(g.syncedAt) {
 		g.syncedAt = requestedAt
@@ -155,7 +163,7 @@
 }
 
 // watchStore applies changes until a call fails or another VM forwards them.
-func (g *Gateway) watchStore(ctx context.Context, revision uint64) error {
+func (g *Gateway) watchStore(ctx context.Context, revision fleet.Revision) error {
 	for !g.hasRecentView(clock.Now()) {
 		requestedAt := clock.Now()
 		events, next, err := g.store.Watch(ctx, "", revision, watchTimeout)
@@ -181,8 +189,18 @@
 	return nil
 }
 
-// applyView applies a view that another VM forwarded.
+// applyView applies a view that another VM forwarded. It ignores one of an earlier era of the store than the known
+// content.
 func (g *Gateway) applyView(now time.Time, v *relay.View, grace time.Duration) {
+	g.mu.Lock()
+	outdated := v.Revision.Era() < max(g.knownRevision.Era(), g.store.Era())
+	if !outdated && g.beginEra(now, v.Revision) {
+		grace = max(grace, entryReturnGrace)
+	}
+	g.mu.Unlock()
+	if outdated {
+		return
+	}
 	present := make(map[string]bool, len(v.Items))
 	for _, item := range v.Items {
 		present[item.Key] = true
@@ -252,7 +270,7 @@
 	g.storeLog.UpdateValue(forwarded)
 }
 
-// applyCoordinationItem applies a change of a member key, an owner key, a quarantine or a load permit.
+// applyCoordinationItem applies a change of a member key, an owner key, a quarantine, the settled era or a load permit.
 func (g *Gateway) applyCoordinationItem(now time.Time, item platform.Item) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -261,6 +279,8 @@
 		g.applyMember(now, item)
 	case strings.HasPrefix(item.Key, ownersPrefix):
 		g.applyOwner(item)
+	case item.Key == settledEraKey:
+		g.applySettledEra(item)
 	case strings.HasPrefix(item.Key, quarantinePrefix):
 		g.applyQuarantine(now, item)
 	case strings.HasPrefix(item.Key, pacing.Prefix):
