Do not end a resumed stream as complete when the next runner fails

A caller of a resumable stream could get the first events and a regular end without the rest: the runner broke off, the next one answered 500, and the gateway relayed that answer into the stream that had begun, which ends as complete.

A failure after a part, or an answer that is no stream, is now retried within the limits, and otherwise the caller's connection is closed.

--- a/state/lifecycle/machine.go
+++ b/state/lifecycle/machine.go
@@ -172,12 +172,16 @@
 
 func (m *Machine) onAnswered(now time.Time, e Answered) Action {
 	m.runs++
-	if !e.Failure || m.relayed {
+	if !e.Failure {
 		m.relayed = true
 		return Relay
 	}
 	m.exclude()
 	m.setCause(CauseEndpointFailed)
+	if m.relayed {
+		// The caller has a part of another answer, which a failure cannot continue.
+		return m.retryOrGiveUp(now)
+	}
 	if m.limits.Retryable && m.runs < m.limits.MaxRuns && m.budget.Take(now) {
 		return Choose
 	}
--- a/state/lifecycle/machine_property_test.go
+++ b/state/lifecycle/machine_property_test.go
@@ -137,6 +137,19 @@
 	assert.DeepEqual(t, m.Excluded(), []string{"a"})
 }
 
+func TestFailureEndsAResumedStreamAsComplete(t *testing.T) {
+	m := New(Limits{Retryable: true, MaxRuns: 3}, &fixedBudget{left: 5})
+	now := time.Unix(1_000_000, 0)
+	m.Step(now, Started{})
+	m.Step(now, Chosen{Endpoint: "a"})
+	assert.Equal(t, m.Step(now, Answered{}), Relay)
+	assert.Equal(t, m.Step(now, Truncated{Resumable: true}), Choose)
+	assert.Equal(t, m.Step(now, Chosen{Endpoint: "b"}), Resume)
+	assert.Equal(t, m.Step(now, Answered{Failure: true}), Choose)
+	assert.Equal(t, m.Step(now, Chosen{Endpoint: "c"}), Resume)
+	assert.Equal(t, m.Step(now, Answered{Failure: true}), Abort)
+}
+
 func TestRetryBudgetIsKeptInEveryWindow(t *testing.T) {
 	b := NewRetryBudget(RetryBudgetLimits{Ratio: 0.2, Slack: 18, Window: 10 * time.Second})
 	now := time.Unix(1_000_000, 0)
--- a/state/lifecycle/types.go
+++ b/state/lifecycle/types.go
@@ -34,7 +34,7 @@
 type Truncated struct{ Resumable bool }
 
 // Answered means that the status line and the headers of an answer arrived. Failure means that the status reports a
-// failure of the endpoint.
+// failure of the endpoint, or that the answer cannot continue the part that was relayed.
 type Answered struct{ Failure bool }
 
 // Completed means that the whole answer was relayed.
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -164,7 +164,8 @@
 	}
 	x.recordFirstByte()
 	x.recordOutcome(outcome, header.StatusCode() < statusMultipleChoices)
-	return lifecycle.Answered{Failure: failure}
+	// A stream can only be continued by a stream.
+	return lifecycle.Answered{Failure: failure || x.relay != nil}
 }
 
 func (x *exchange) handleDecline(ctx context.Context, head platform.ResponseHead) lifecycle.Event {
