Keep all bits of a lease's number

A lease is its era and its number. Revisions, which count up from a small number, get 48 bits. TestCallsOfAnEarlierEraReachTheStore renews a lease of 63 bits; it failed before.

--- a/state/fleet/revision.go
+++ b/state/fleet/revision.go
@@ -6,9 +6,8 @@
 // earlier one. The zero value comes before all.
 type Revision uint64
 
-// revisionNumberBits is the size of the number within an era. With it, a revision of the first 8192 eras is an integer
-// that JSON numbers carry exactly.
-const revisionNumberBits = 40
+// revisionNumberBits is the size of the number within an era. It leaves room for 65,536 eras.
+const revisionNumberBits = 48
 
 // NewRevision returns the revision with a number that the store gave out in an era.
 func NewRevision(era, number uint64) Revision {
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -60,7 +60,7 @@
 		g.mu.Lock()
 		registered, synced := g.owners.Registered(), g.owners.IsSynced(now)
 		g.mu.Unlock()
-		if lease != 0 && registered {
+		if lease.ID != 0 && registered {
 			if synced && now.Sub(g.lastRenewedAt) >= renewInterval {
 				lease = g.renewLease(ctx, now, lease)
 			}
@@ -79,7 +79,7 @@
 	})
 }
 
-// renewLease renews the lease of the VM's key and returns it, or zero if it has ended. After any other failure the next
+// renewLease renews the lease of the VM's key and returns it, or none if it has ended. After any other failure the next
 // tick retries; the failure is not logged here, since listAndWatch detects and logs the loss of the store.
 func (g *Gateway) renewLease(ctx context.Context, now time.Time, lease platform.Lease) platform.Lease {
 	err := g.store.RenewLease(ctx, lease)
@@ -87,7 +87,7 @@
 	case err == nil:
 		g.lastRenewedAt = now
 	case errors.Is(err, platform.ErrNoLease):
-		return 0
+		return platform.Lease{}
 	}
 	return lease
 }
@@ -95,14 +95,14 @@
 func (g *Gateway) writeMember(ctx context.Context) (platform.Lease, error) {
 	lease, _, err := g.store.GrantLease(ctx, memberLeaseTTL)
 	if err != nil {
-		return 0, err
+		return platform.Lease{}, err
 	}
 	value, err := json.Marshal(memberValue{Address: g.settings.PeerAddress(), Domain: g.settings.Domain})
 	if err != nil {
-		return 0, errors.Wrap(err, "encode member")
+		return platform.Lease{}, errors.Wrap(err, "encode member")
 	}
 	_, err = g.store.Commit(ctx, platform.Transaction{
-		Era:    fleet.Revision(lease).Era(),
+		Era:    lease.Era,
 		Writes: []platform.Write{{Key: membersPrefix + g.settings.Name, Value: value, Lease: lease}},
 	})
 	return lease, err
