Log the caller and target of a request that may have crashed an endpoint

Event 512 named the fingerprint of the request only. The event now has both, also for a crash that is known only by the runner's next start.

--- a/state/fleet/request.go
+++ b/state/fleet/request.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/zinniaroute/zinniaroute/state/routes"
@@ -25,6 +26,9 @@
 	ID string
 	// Fingerprint is a hash of the request's content; retries of a request have the same.
 	Fingerprint uint64
+	// Caller is the address that the caller connected from, and Target the path and query that it sent.
+	Caller netip.Addr
+	Target string
 	Kind        routes.Kind
 	// Priority is the priority of the request's route; 0 is the most urgent.
 	Priority int
--- a/state/quarantine/runs.go
+++ b/state/quarantine/runs.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -15,8 +16,16 @@
 	unansweredTTL = 30 * time.Second
 )
 
+// Origin tells operators where a request came from.
+type Origin struct {
+	Request string
+	Caller  netip.Addr
+	Target  string
+}
+
 // Run is one attempt of a request on an endpoint.
 type Run struct {
+	Origin      Origin
 	fingerprint Fingerprint
 	endpoint    string
 	incarnation int64
@@ -71,10 +80,16 @@
 // GiveUp records that the VM stopped waiting for the answer, for example because the caller left.
 func (r *Runs) GiveUp(now time.Time, run *Run) { run.endedAt = now }
 
+// EndedRun is a run during which the endpoint ended, and the record of that.
+type EndedRun struct {
+	Origin Origin
+	Crash  Crash
+}
+
 // EndpointStarted records that an endpoint has started again, or that another one has taken its address. It removes the
-// runs of the earlier incarnation and returns a crash for each that may have been in progress when it ended.
-func (r *Runs) EndpointStarted(now time.Time, endpoint string, startedAt time.Time) []Crash {
-	var crashes []Crash
+// runs of the earlier incarnation and returns those that may have been in progress when it ended.
+func (r *Runs) EndpointStarted(now time.Time, endpoint string, startedAt time.Time) []EndedRun {
+	var ended []EndedRun
 	r.keep(endpoint, func(run *Run) bool {
 		if !run.sentAt.Before(startedAt) {
 			return true
@@ -84,11 +99,11 @@
 			if startedAt.Before(endedAt) {
 				endedAt = startedAt
 			}
-			crashes = append(crashes, run.Crash(endedAt))
+			ended = append(ended, EndedRun{Origin: run.Origin, Crash: run.Crash(endedAt)})
 		}
 		return false
 	})
-	return crashes
+	return ended
 }
 
 // Expire removes the runs that were given up too long ago to be tied to a restart.
--- a/state/quarantine/runs_test.go
+++ b/state/quarantine/runs_test.go
@@ -28,9 +28,12 @@
 			run := runs.Begin(test.sentAt, 7, "a", 1, nil)
 			other := runs.Begin(test.sentAt, 7, "b", 1, nil)
 			test.outcome(runs, run)
-			crashes := runs.EndpointStarted(restart.Add(2*time.Second), "a", restart)
-			assert.Equal(t, len(crashes), test.crashes)
-			for _, c := range crashes {
+			run.Origin = Origin{Request: "attempt"}
+			ended := runs.EndpointStarted(restart.Add(2*time.Second), "a", restart)
+			assert.Equal(t, len(ended), test.crashes)
+			for _, e := range ended {
+				c := e.Crash
+				assert.Equal(t, e.Origin, run.Origin)
 				assert.Equal(t, c.Key(), Crash{Fingerprint: 7, Endpoint: "a", SentAt: test.sentAt}.Key())
 				assert.Equal(t, c.EndedAt, restart)
 				assert.Assert(t, c.Early)
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -89,6 +89,7 @@
 	x.run = x.gateway.crashes.runs.Begin(
 		now, quarantine.Fingerprint(x.request.Fingerprint), runner.ID, runner.Incarnation, x.run,
 	)
+	x.run.Origin = quarantine.Origin{Request: x.request.ID, Caller: x.request.Caller, Target: x.request.Target}
 }
 
 // endRun records that the result of the run is known. A response with a success status that arrived whole clears the
@@ -120,12 +121,12 @@
 	g.crashes.runs.End(now, x.run)
 	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
 		errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		g.recordCrash(now, x.request.ID, x.run.Crash(now), err)
+		g.recordCrash(now, x.run.Origin, x.run.Crash(now), err)
 	}
 }
 
 // recordCrash records a crash that this VM observed. The caller must hold the lock.
-func (g *Gateway) recordCrash(now time.Time, request string, crash quarantine.Crash, evidence error) {
+func (g *Gateway) recordCrash(now time.Time, origin quarantine.Origin, crash quarantine.Crash, evidence error) {
 	refused := g.crashes.tracker.RetryAfter(now, crash.Fingerprint) > 0
 	suspicion := g.crashes.tracker.RecordCrash(now, crash)
 	if len(suspicion.Endpoints) > 0 {
@@ -134,7 +135,7 @@
 	}
 	crashRecords.Add("recorded", 1)
 	g.log.Emit(
-		eventlog.EndpointEnded, request, crash.Fingerprint.String(), crash.Endpoint,
+		eventlog.EndpointEnded, origin.Request, crash.Fingerprint.String(), origin.Caller, origin.Target, crash.Endpoint,
 		crash.EndedAt.Sub(crash.SentAt).Milliseconds(), crash.Early, len(suspicion.Endpoints), evidence,
 	)
 	if suspicion.Quarantined() && !refused {
@@ -161,8 +162,8 @@
 }
 
 func (g *Gateway) recordRunnerEnd(now time.Time, runner string, startedAt time.Time) {
-	for _, crash := range g.crashes.runs.EndpointStarted(now, runner, startedAt) {
-		g.recordCrash(now, "", crash, errStartedAgain)
+	for _, run := range g.crashes.runs.EndpointStarted(now, runner, startedAt) {
+		g.recordCrash(now, run.Origin, run.Crash, errStartedAgain)
 	}
 }
 
--- a/transport/gateway/quarantine_test.go
+++ b/transport/gateway/quarantine_test.go
@@ -66,7 +66,7 @@
 	group.Sleep(t.Context(), 50*time.Millisecond)
 	g.mu.Lock()
 	for _, runner := range []string{"r2", "r3", "r4"} {
-		g.recordCrash(now, "other", quarantine.Crash{
+		g.recordCrash(now, quarantine.Origin{Request: "other"}, quarantine.Crash{
 			Fingerprint: culprit, Endpoint: runner, SentAt: now, EndedAt: now, Early: true,
 		}, io.EOF)
 	}
@@ -119,7 +119,7 @@
 			for i, lost := range test.lost {
 				if i == 1 {
 					observer.gateway.mu.Lock()
-					observer.gateway.recordCrash(now, "request", quarantine.Crash{
+					observer.gateway.recordCrash(now, quarantine.Origin{Request: "request"}, quarantine.Crash{
 						Fingerprint: culprit, Endpoint: "r1", SentAt: now, EndedAt: now, Early: true,
 					}, io.EOF)
 					observer.gateway.mu.Unlock()
