--- a/integration/gateway_crash_test.go
+++ b/integration/gateway_crash_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
+	"net/netip"
 	"slices"
 	"syscall"
 	"testing"
@@ -150,6 +153,26 @@
 	return c
 }
 
+func TestRequestWithoutBodyFromSeveralAddressesKeepsReachingRunners(t *testing.T) {
+	c := crashingDeployment(t, plainService, modelrunner.Crash{Path: safePath, NewID: true})
+	for i := 0; c.lateRetries("") <= maxLateRetries && i < 42; i++ {
+		c.sendFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i/14 + 1)}), c.names[i%len(c.names)], safePath)
+		group.Sleep(t.Context(), 300*time.Millisecond)
+	}
+	assert.Check(t, len(c.crashes()) >= 3)
+	assert.Check(t, c.lateRetries("") <= maxLateRetries, "%d late retries", c.lateRetries(""))
+}
+
+// sendFrom sends a request without a body over a connection of its own from an address.
+func (d *deployment) sendFrom(address netip.Addr, gateway, path string) {
+	dialer := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(address, 0))}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
+	response, err := client.Do(newRequest(d.t.Context(), d.gateways[gateway], path, "", nil))
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
+
 func (c *callers) waitServes(service string) {
 	c.t.Helper()
 	path, model := modelPath, "large"
--- a/standin/modelrunner/crash.go
+++ b/standin/modelrunner/crash.go
@@ -13,8 +13,10 @@
 
 // Crash describes how a request crashes the runner that runs it.
 type Crash struct {
-	// Body is the body of the requests that crash the runner. None does if it is empty.
+	// Body is the body, and Path the path without the query, of the requests that crash the runner. An empty one matches
+	// no request.
 	Body string
+	Path string
 	// After is the time from the start of the run to the crash.
 	After time.Duration
 	// Silent means that the runner closes no connection when it crashes.
@@ -23,6 +25,10 @@
 	NewID bool
 }
 
+func (c Crash) matches(request *app.RequestContext) bool {
+	return c.Body != "" && string(request.Request.Body()) == c.Body || c.Path != "" && string(request.Path()) == c.Path
+}
+
 // SetCrash sets which requests crash the runner from now on, and how.
 func (r *Runner) SetCrash(crash Crash) {
 	r.mu.Lock()
@@ -79,9 +85,9 @@
 func (r *Runner) endsRun(c *app.RequestContext) bool {
 	r.mu.Lock()
 	crash, crashed, down := r.crash, r.crashed, time.Now().Before(r.downUntil)
-	crashes := !down && crash.Body != "" && string(c.Request.Body()) == crash.Body
+	crashes := !down && crash.matches(c)
 	if crashes {
-		r.runs = append(r.runs, Run{Attempt: string(c.GetHeader(headerAttempt)), Body: crash.Body, At: time.Now()})
+		r.runs = append(r.runs, newRun(c))
 	}
 	r.mu.Unlock()
 	switch {
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -72,6 +72,13 @@
 	At time.Time
 }
 
+func newRun(c *app.RequestContext) Run {
+	return Run{
+		Attempt: string(c.GetHeader(headerAttempt)), Path: string(c.Request.Header.RequestURI()),
+		Body: string(c.Request.Body()), ResumeAfter: string(c.GetHeader(headerLastEventID)), At: time.Now(),
+	}
+}
+
 // Order is an order that a runner has accepted.
 type Order struct {
 	Holder string
@@ -310,10 +317,7 @@
 		c.SetStatusCode(statusMisdirected)
 		return 0, 0, false
 	}
-	r.runs = append(r.runs, Run{
-		Attempt: string(c.GetHeader(headerAttempt)), Path: string(c.Request.Header.RequestURI()),
-		Body: string(c.Request.Body()), ResumeAfter: string(c.GetHeader(headerLastEventID)), At: time.Now(),
-	})
+	r.runs = append(r.runs, newRun(c))
 	if r.unsealedAnswers > 0 {
 		r.unsealedAnswers--
 	} else {
