Do not let a completion before the crashes clear a request

Callers saw: a request that had been completed once at each gateway crashed every runner that ran it afterwards, for ten minutes.

Cause: a VM for which a request had been completed within ten minutes dropped each crash of it, and cleared those of other VMs. A completion before the crashes says nothing about them: the service may have changed, or another caller may have sent the same content.

Evidence: TestRequestThatWasCompletedBeforeKeepsReachingRunners failed before, with seven late retries at a plain service and seven at a model service, where three are allowed.

A completed run now clears the crashes that ended before it was sent, on whichever VM. A request that endpoints had completed before is refused 1.5 s after the crash that suffices; callers that send the same content may complete it in that time, which clears it. The case 'completed before' of TestRequestThatOthersCompleteIsQuarantined demanded the opposite; TestRequestIsNotRefusedBecauseItWasCompletedBeforeItsCrashes has the bounds in detail. A crash that the clock of another VM dates in the future counts as of its arrival.

--- a/integration/gateway_crash_test.go
+++ b/integration/gateway_crash_test.go
@@ -163,6 +163,33 @@
 	assert.Check(t, c.lateRetries("") <= maxLateRetries, "%d late retries", c.lateRetries(""))
 }
 
+func TestRequestThatWasCompletedBeforeKeepsReachingRunners(t *testing.T) {
+	tests := []struct {
+		name, service, path, model string
+		after                      time.Duration
+	}{
+		{"plain service", plainService, unsafePath, "", 50 * time.Millisecond},
+		{"model service, late in the run", modelService, modelPath, "large", 2200 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := crashingDeployment(t, test.service, modelrunner.Crash{})
+			for range c.names {
+				assert.Equal(t, c.sendInTurn(test.path, test.model, "poison", 5*time.Second), 200)
+			}
+			for _, runner := range c.runners {
+				runner.SetCrash(modelrunner.Crash{Body: "poison", After: test.after, NewID: true})
+			}
+			for i := 0; c.lateRetries("poison") <= maxLateRetries && i < 40; i++ {
+				c.sendInTurn(test.path, test.model, "poison", 5*time.Second)
+				group.Sleep(t.Context(), 300*time.Millisecond)
+			}
+			assert.Check(t, len(c.crashes()) >= 3)
+			assert.Check(t, c.lateRetries("poison") <= maxLateRetries, "%d late retries", c.lateRetries("poison"))
+		})
+	}
+}
+
 // sendFrom sends a request without a body over a connection of its own from an address.
 func (d *deployment) sendFrom(address netip.Addr, gateway, path string) {
 	dialer := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(address, 0))}
--- a/state/fleet/request.go
+++ b/state/fleet/request.go
@@ -29,7 +29,7 @@
 	// Caller is the address that the caller connected from, and Target the path and query that it sent.
 	Caller netip.Addr
 	Target string
-	Kind        routes.Kind
+	Kind   routes.Kind
 	// Priority is the priority of the request's route; 0 is the most urgent.
 	Priority int
 	// Unit is the model or adapter that the request names; it is empty for plain services.
--- a/state/quarantine/runs.go
+++ b/state/quarantine/runs.go
@@ -38,6 +38,9 @@
 	endedAt    time.Time
 }
 
+// SentAt returns the time at which the request was sent.
+func (r *Run) SentAt() time.Time { return r.sentAt }
+
 // RecordFirstByte records that the answer began to arrive.
 func (r *Run) RecordFirstByte(now time.Time) { r.answeredAt = now }
 
--- a/state/quarantine/tracker.go
+++ b/state/quarantine/tracker.go
@@ -21,6 +21,10 @@
 	maxCrashes = 4
 	// maxRecordsPerRequest bounds the records of one request. It exceeds maxCrashes by the runs of concurrent retries.
 	maxRecordsPerRequest = 32
+	// completedGrace is the time from the crash that would quarantine a request until it is refused if endpoints have
+	// completed the request within SuspicionTTL. Several callers may send such a request alike, and a completion of it
+	// that begins within this time shows that another request caused the crashes.
+	completedGrace = 1500 * time.Millisecond
 	// SuspicionTTL is the time after the latest crash at which its record expires and a quarantined request is allowed
 	// again.
 	SuspicionTTL = 10 * time.Minute
@@ -33,11 +37,14 @@
 	// LastCrashAt is the time of the latest crash.
 	LastCrashAt time.Time `json:"at"`
 	// Endpoints lists the endpoints that crashed while they ran the request, in the order of the crashes.
-	Endpoints []string `json:"endpoints,omitempty"`
+	Endpoints   []string `json:"endpoints,omitempty"`
+	quarantined bool
 }
 
-// Quarantined reports whether the request is refused.
-func (s Suspicion) Quarantined() bool {
+// Quarantined reports whether the request is refused at the time of the summary.
+func (s Suspicion) Quarantined() bool { return s.quarantined }
+
+func (s Suspicion) hasEnoughCrashes() bool {
 	return s.Score >= quarantineScore || len(s.Endpoints) >= maxCrashes
 }
 
@@ -48,8 +55,7 @@
 	probation map[string]Fingerprint
 	// unreported holds the records that were made here and have not reached a peer, by key.
 	unreported map[string]Crash
-	// completed holds the requests that endpoints have completed lately. One that several callers send alike is cleared by
-	// the completions of the others.
+	// completed holds when the last completed runs of requests were sent.
 	completed recentSet
 }
 
@@ -75,6 +81,7 @@
 // Suspicion sums up the crashes of a request that are neither expired nor cleared, each counted once.
 func (t *Tracker) Suspicion(now time.Time, f Fingerprint) Suspicion {
 	s := Suspicion{Fingerprint: f}
+	enough, lastCrashAt := false, time.Time{}
 	var counted []Crash
 	for _, c := range t.crashes[f] {
 		if c.Cleared || expired(now, c) || slices.ContainsFunc(counted, c.same) {
@@ -87,7 +94,12 @@
 		if c.Early {
 			s.Score += earlyCrashScore - lateCrashScore
 		}
+		if !enough && s.hasEnoughCrashes() {
+			enough, lastCrashAt = true, c.EndedAt
+		}
 	}
+	_, completed := t.completed.get(now, f)
+	s.quarantined = enough && (!completed || now.Sub(lastCrashAt) >= completedGrace)
 	return s
 }
 
@@ -144,19 +156,23 @@
 	}
 }
 
-// RecordCompleted records a complete response, which clears the crashes of the request: what an endpoint can complete
-// does not crash each endpoint that runs it. It returns the cleared records.
-func (t *Tracker) RecordCompleted(now time.Time, f Fingerprint, endpoint string) []Crash {
+// RecordCompleted records the complete response to a run that was sent at a time. It clears the crashes that ended before
+// that: the request does not crash each endpoint that runs it. It returns the cleared records.
+func (t *Tracker) RecordCompleted(now time.Time, f Fingerprint, endpoint string, sentAt time.Time) []Crash {
 	t.EndProbation(f, endpoint)
-	t.completed.add(now, f)
-	return t.clear(f)
+	t.completed.add(f, sentAt)
+	return t.clear(now, f)
 }
 
-// clear clears the crashes of a request and returns their records.
-func (t *Tracker) clear(f Fingerprint) []Crash {
+// clear clears the crashes of a request that ended before its last completed run was sent, and returns their records.
+func (t *Tracker) clear(now time.Time, f Fingerprint) []Crash {
+	completedAt, completed := t.completed.get(now, f)
+	if !completed {
+		return nil
+	}
 	var cleared []Crash
 	for i, c := range t.crashes[f] {
-		if c.Cleared {
+		if c.Cleared || c.EndedAt.After(completedAt) {
 			continue
 		}
 		c.Cleared = true
@@ -167,11 +183,12 @@
 	return cleared
 }
 
-// RecordCrash records a crash that this VM observed, and returns the suspicion of its request. Requests that endpoints
-// have completed lately are not suspected.
+// RecordCrash records a crash that this VM observed, and returns the suspicion of its request. It ignores one that ended
+// before a run was sent that endpoints have completed.
 func (t *Tracker) RecordCrash(now time.Time, c Crash) Suspicion {
 	t.EndProbation(c.Fingerprint, c.Endpoint)
-	if !t.completed.has(now, c.Fingerprint) && t.put(now, c) {
+	completedAt, completed := t.completed.get(now, c.Fingerprint)
+	if (!completed || c.EndedAt.After(completedAt)) && t.put(now, c) {
 		t.unreported[c.Key()] = c
 	}
 	return t.Suspicion(now, c.Fingerprint)
@@ -182,6 +199,10 @@
 	if expired(now, c) {
 		return false
 	}
+	if c.EndedAt.After(now) {
+		// The clock of the VM that made the record is ahead.
+		c.EndedAt = now
+	}
 	known := t.crashes[c.Fingerprint]
 	if i := slices.IndexFunc(known, func(k Crash) bool { return k.Key() == c.Key() }); i >= 0 {
 		if known[i].Version() >= c.Version() {
@@ -226,17 +247,14 @@
 }
 
 // Merge adds the records of peers, and returns the suspicions that are quarantined because of it. It also returns the
-// records that it clears, because endpoints have completed their requests for this VM lately.
+// records that it clears, because endpoints have completed their requests for this VM since.
 func (t *Tracker) Merge(now time.Time, crashes []Crash) (quarantined []Suspicion, cleared []Crash) {
 	for _, c := range crashes {
 		before := t.Suspicion(now, c.Fingerprint).Quarantined()
 		if !t.put(now, c) {
 			continue
 		}
-		if t.completed.has(now, c.Fingerprint) {
-			cleared = append(cleared, t.clear(c.Fingerprint)...)
-			continue
-		}
+		cleared = append(cleared, t.clear(now, c.Fingerprint)...)
 		if s := t.Suspicion(now, c.Fingerprint); s.Quarantined() && !before {
 			quarantined = append(quarantined, s)
 		}
--- a/state/quarantine/tracker_test.go
+++ b/state/quarantine/tracker_test.go
@@ -43,7 +43,8 @@
 				tracker.RecordCrash(at, crash(7, string(rune('a'+i)), at, early))
 			}
 			if tc.completed {
-				assert.Equal(t, len(tracker.RecordCompleted(start, 7, "z")), len(tc.crashes))
+				completedAt := start.Add(10 * time.Second)
+				assert.Equal(t, len(tracker.RecordCompleted(completedAt, 7, "z", completedAt)), len(tc.crashes))
 				assert.Assert(t, !tracker.IsSuspect(start, 7))
 			}
 			assert.Equal(t, tracker.RetryAfter(start.Add(time.Minute), 7) > 0, tc.refused)
@@ -127,7 +128,7 @@
 	first.RecordCrash(start, crash(7, "a", start, true))
 	open := first.Unreported()
 	second.Merge(start, open)
-	second.RecordCompleted(start, 7, "b")
+	second.RecordCompleted(start, 7, "b", start)
 	first.Merge(start, second.Unreported())
 	assert.Assert(t, !first.IsSuspect(start, 7))
 	first.Merge(start, open)
@@ -141,7 +142,7 @@
 		completed time.Time
 		refused   bool
 	}{
-		{"completed before", start.Add(-time.Minute), false},
+		{"completed before", start.Add(-time.Minute), true},
 		{"completed between", start.Add(1500 * time.Millisecond), false},
 		{"completed after", start.Add(time.Minute), false},
 		{"completed long before", start.Add(-time.Hour), true},
@@ -151,7 +152,7 @@
 			observer, other := NewTracker(), NewTracker()
 			complete := func(from, until time.Time) {
 				if !test.completed.Before(from) && test.completed.Before(until) {
-					other.RecordCompleted(test.completed, 7, "z")
+					other.RecordCompleted(test.completed, 7, "z", test.completed)
 				}
 			}
 			complete(start.Add(-2*time.Hour), start)
@@ -170,6 +171,39 @@
 	}
 }
 
+// A request that endpoints completed, for example before a new version of the service, may crash the next ones.
+func TestRequestIsNotRefusedBecauseItWasCompletedBeforeItsCrashes(t *testing.T) {
+	tests := []struct {
+		name string
+		// The crashes end after 0, 1 and 2 s.
+		sentAt, completedAt, asOf time.Duration
+		refused                   bool
+	}{
+		{"completed a minute before", -time.Minute, -time.Minute, 4 * time.Second, true},
+		{"a completion may still follow", -time.Minute, -time.Minute, 3 * time.Second, false},
+		{"sent before the first crash and completed after the last", -100 * time.Millisecond, 2500 * time.Millisecond, 4 * time.Second, true},
+		{"sent after the first crash", 500 * time.Millisecond, 2500 * time.Millisecond, 4 * time.Second, false},
+		{"sent after the last crash", 2200 * time.Millisecond, 2500 * time.Millisecond, 4 * time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			tracker := NewTracker()
+			complete := func(from, until time.Duration) {
+				if from <= test.completedAt && test.completedAt < until {
+					tracker.RecordCompleted(start.Add(test.completedAt), 7, "z", start.Add(test.sentAt))
+				}
+			}
+			complete(-time.Hour, 0)
+			for i := range 3 {
+				at := start.Add(time.Duration(i) * time.Second)
+				tracker.RecordCrash(at, crash(7, string(rune('a'+i)), at, true))
+			}
+			complete(0, time.Hour)
+			assert.Equal(t, tracker.RetryAfter(start.Add(test.asOf), 7) > 0, test.refused)
+		})
+	}
+}
+
 func TestQuarantineClearsSuspicionsItExplains(t *testing.T) {
 	tracker := NewTracker()
 	tracker.RecordCrash(start, crash(8, "a", start, true))
@@ -212,7 +246,7 @@
 					t.Fatalf("innocent request %d is refused: %+v", f, tracker.All(now))
 				}
 				if rapid.Bool().Draw(t, "finishes") {
-					tracker.RecordCompleted(now, f, endpoint)
+					tracker.RecordCompleted(now, f, endpoint, now)
 				}
 			}
 		}
--- a/transport/entry/quarantine.go
+++ b/transport/entry/quarantine.go
@@ -67,10 +67,10 @@
 	t.quarantine.EndProbation(f, endpoint)
 }
 
-func (t *table) recordCompleted(now time.Time, f quarantine.Fingerprint, endpoint string) {
+func (t *table) recordCompleted(now time.Time, f quarantine.Fingerprint, endpoint string, sentAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.quarantine.RecordCompleted(now, f, endpoint)
+	t.quarantine.RecordCompleted(now, f, endpoint, sentAt)
 }
 
 func (t *table) recordCrash(now time.Time, crash quarantine.Crash) {
--- a/transport/entry/run.go
+++ b/transport/entry/run.go
@@ -118,7 +118,7 @@
 	table.recordEnd(now, m.endpoint.name, endpointFailed && ctx.Err() == nil)
 	switch {
 	case completed:
-		table.recordCompleted(now, m.fingerprint, m.endpoint.name)
+		table.recordCompleted(now, m.fingerprint, m.endpoint.name, m.sentAt)
 	case m.lastFailure != nil && m.lastFailure.connectionLost && ctx.Err() == nil:
 		table.recordCrash(now, m.crash(now))
 		m.entry.crashesChanged.Offer(struct{}{})
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -54,6 +54,8 @@
 	stored       map[string]bool
 	missingSince map[quarantine.Fingerprint]time.Time
 	observed     map[quarantine.Fingerprint]bool
+	// logged holds the quarantines that this VM has logged.
+	logged map[quarantine.Fingerprint]bool
 }
 
 type occupant struct {
@@ -66,6 +68,7 @@
 		tracker: quarantine.NewTracker(), records: dissemination.NewTable[quarantine.Crash](), runs: quarantine.NewRuns(),
 		occupants: make(map[netip.AddrPort]occupant), stored: make(map[string]bool),
 		missingSince: make(map[quarantine.Fingerprint]time.Time), observed: make(map[quarantine.Fingerprint]bool),
+		logged: make(map[quarantine.Fingerprint]bool),
 	}
 }
 
@@ -101,7 +104,7 @@
 		return
 	}
 	fingerprint := quarantine.Fingerprint(x.request.Fingerprint)
-	cleared := g.crashes.tracker.RecordCompleted(now, fingerprint, x.choice.Runner.ID)
+	cleared := g.crashes.tracker.RecordCompleted(now, fingerprint, x.choice.Runner.ID, x.run.SentAt())
 	if len(cleared) == 0 {
 		return
 	}
@@ -167,9 +170,10 @@
 	}
 }
 
-// logQuarantines logs and counts requests that are now quarantined, with the source of the record that decided it.
+// logQuarantines logs and counts requests that are now quarantined, with what decided it.
 func (g *Gateway) logQuarantines(source string, suspicions ...quarantine.Suspicion) {
 	for _, s := range suspicions {
+		g.crashes.logged[s.Fingerprint] = true
 		crashRecords.Add("quarantined", 1)
 		g.log.Emit(eventlog.QuarantineStarted, s.Fingerprint.String(), s.Score, s.Endpoints, source)
 	}
@@ -197,6 +201,11 @@
 	g.crashes.tracker.Expire(now)
 	g.crashes.records.Expire(now.Add(-quarantine.SuspicionTTL))
 	g.crashes.runs.Expire(now)
+	for fingerprint := range g.crashes.logged {
+		if len(g.crashes.tracker.Crashes(now, fingerprint)) == 0 {
+			delete(g.crashes.logged, fingerprint)
+		}
+	}
 	for fingerprint := range g.crashes.observed {
 		if len(g.crashes.tracker.Crashes(now, fingerprint)) == 0 {
 			delete(g.crashes.observed, fingerprint)
@@ -273,6 +282,9 @@
 func (g *Gateway) missingQuarantines(now time.Time) []quarantine.Suspicion {
 	var missing []quarantine.Suspicion
 	for _, s := range g.crashes.tracker.All(now) {
+		if s.Quarantined() && !g.crashes.logged[s.Fingerprint] {
+			g.logQuarantines("no completion since the crashes", s)
+		}
 		if !s.Quarantined() || g.crashes.stored[s.Fingerprint.String()] {
 			delete(g.crashes.missingSince, s.Fingerprint)
 			continue
