Send large values compressed in the views that the aggregator forwards

Cause: the aggregator sends a changed configuration whole to each VM. A configuration of 1400 routes takes 853 ms to leave it at 200 Mbit/s, more than the 400 ms that a VM waits. The VMs then passed over the aggregator for three seconds, asked the next one, which has a link of 10 Mbit/s, and all listed the store.

TestViewOfLargeConfigurationExceedsTheLinkOfTheAggregator failed before.

A VM that cannot read a view reads the store itself (event 412).

--- a/coordination/relay/log.go
+++ b/coordination/relay/log.go
@@ -15,6 +15,8 @@
 	Value    []byte         `cbor:"2,keyasint,omitempty"`
 	Revision fleet.Revision `cbor:"3,keyasint"`
 	Deleted  bool           `cbor:"4,keyasint,omitempty"`
+	// Packed means that the value is compressed.
+	Packed bool `cbor:"5,keyasint,omitempty"`
 }
 
 // View is the part of the store's content that one VM forwards to another.
@@ -35,6 +37,8 @@
 type Log struct {
 	items      map[string]Item
 	tombstones []Item
+	// packed holds the items that Pack has compressed.
+	packed map[string]Item
 	// floor is the revision after which the log holds all changes. Zero means that nothing was listed yet.
 	floor    fleet.Revision
 	revision fleet.Revision
@@ -43,13 +47,14 @@
 }
 
 // NewLog returns an empty log, which forwards nothing before its first listing.
-func NewLog() *Log { return &Log{items: make(map[string]Item)} }
+func NewLog() *Log { return &Log{items: make(map[string]Item), packed: make(map[string]Item)} }
 
 // Put applies a change unless a later one of the key is known, and reports whether it did.
 func (l *Log) Put(item Item) bool {
 	if known, ok := l.items[item.Key]; ok && known.Revision >= item.Revision {
 		return false
 	}
+	delete(l.packed, item.Key)
 	if !item.Deleted {
 		l.items[item.Key] = item
 		return true
@@ -69,6 +74,7 @@
 	if known, ok := l.items[item.Key]; ok {
 		known.Value = item.Value
 		l.items[item.Key] = known
+		delete(l.packed, item.Key)
 	}
 }
 
@@ -78,6 +84,7 @@
 	for key := range l.items {
 		if !present[key] {
 			delete(l.items, key)
+			delete(l.packed, key)
 		}
 	}
 	l.tombstones = nil
@@ -95,6 +102,21 @@
 // Suspend records that the store does not answer. The log forwards nothing until the next RecordSync.
 func (l *Log) Suspend() { l.syncedAt = time.Time{} }
 
+// Pack compresses the large values of a view that Since has returned.
+func (l *Log) Pack(v *View) {
+	for i, item := range v.Items {
+		if len(item.Value) < minPackedBytes {
+			continue
+		}
+		packed, ok := l.packed[item.Key]
+		if !ok {
+			packed = item.pack()
+			l.packed[item.Key] = packed
+		}
+		v.Items[i] = packed
+	}
+}
+
 // Since returns the changes after a known revision, or the whole content if changes after it are missing from the log.
 // It returns false if the last sync is older than maxAge, or is of an earlier era of the store than the known revision.
 func (l *Log) Since(now time.Time, known fleet.Revision, maxAge time.Duration) (View, bool) {
--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -194,6 +194,11 @@
 		[]string{"known", "revision", "knownAgeMs"},
 		"Nothing; each VM writes again what it had written. Orders to some runners pause for eleven seconds.",
 	}
+	ViewUnreadable = Event{
+		412, logrus.WarnLevel, "forwarded view could not be read; this VM reads the store itself",
+		[]string{"revision", "error"},
+		"Check that all VMs run the same version of the program.",
+	}
 	EraNotMarked = Event{
 		411, logrus.WarnLevel, "settled era of the store could not be read or written; the write is retried",
 		[]string{"era", "error"},
@@ -292,7 +297,7 @@
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined,
 		RequestServed, RequestNotServed, LogLinesDropped,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
-		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked,
+		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -56,6 +56,8 @@
 	// it had sent by the answer before. Number 9 is not used again.
 	Crashes         []quarantine.Crash `cbor:"10,keyasint,omitempty"`
 	ReceivedCrashes uint64             `cbor:"11,keyasint,omitempty"`
+	// PackedViews reports that the VM reads views with compressed values.
+	PackedViews bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Summary is the aggregator's answer to a VM.
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -94,6 +94,7 @@
 	report := &vm.Report{
 		VM: g.settings.Name, EndpointLoads: g.scheduler.EndpointLoads(now), Demand: make(map[string]allocation.Demand),
 		SyncedRevision: g.knownRevision, Aggregator: g.aggregatorIncarnation, ReceivedChanges: g.receivedChanges,
+		PackedViews: true,
 	}
 	for service, meter := range g.demandMeters {
 		report.Demand[service] = meter.Rates(now)
@@ -142,6 +143,9 @@
 	}
 	g.exchangeCrashes(now, received, s)
 	if view, ok := g.storeLog.Since(now, received.SyncedRevision, maxViewAge); ok && received.VM != g.settings.Name {
+		if received.PackedViews {
+			g.storeLog.Pack(&view)
+		}
 		s.View = &view
 	}
 	receivedChanges := received.ReceivedChanges
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -192,6 +192,14 @@
 // applyView applies a view that another VM forwarded. It ignores one of an earlier era of the store than the known
 // content.
 func (g *Gateway) applyView(now time.Time, v *relay.View, grace time.Duration) {
+	items, err := unpack(v.Items)
+	if err != nil {
+		g.log.Emit(eventlog.ViewUnreadable, v.Revision, err)
+		g.mu.Lock()
+		g.lastViewAt = time.Time{}
+		g.mu.Unlock()
+		return
+	}
 	g.mu.Lock()
 	outdated := v.Revision.Era() < max(g.knownRevision.Era(), g.store.Era())
 	if !outdated && g.beginEra(now, v.Revision) {
@@ -202,7 +210,7 @@
 		return
 	}
 	present := make(map[string]bool, len(v.Items))
-	for _, item := range v.Items {
+	for _, item := range items {
 		present[item.Key] = true
 		g.applyItem(now, platform.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
 	}
@@ -219,6 +227,18 @@
 	}
 }
 
+func unpack(packed []relay.Item) ([]relay.Item, error) {
+	items := make([]relay.Item, 0, len(packed))
+	for _, item := range packed {
+		unpacked, err := item.Unpacked()
+		if err != nil {
+			return nil, err
+		}
+		items = append(items, unpacked)
+	}
+	return items, nil
+}
+
 // removeUnlisted removes members, owners, stored quarantines and load permits whose keys a complete listing lacks. The caller must hold the
 // lock.
 func (g *Gateway) removeUnlisted(now time.Time, listed map[string]bool) {
--- a/transport/gateway/view_test.go
+++ b/transport/gateway/view_test.go
@@ -55,7 +55,7 @@
 	g.applyItem(now, platform.Item{Key: platform.ConfigurationKey, Value: largeConfiguration(t, 2, routes), Revision: changed})
 	g.storeLog.RecordSync(now, changed)
 
-	summary := g.mergeReport(now, &vm.Report{VM: "vm-2", SyncedRevision: listed})
+	summary := g.mergeReport(now, &vm.Report{VM: "vm-2", SyncedRevision: listed, PackedViews: true})
 	data, err := cbor.Marshal(summary)
 	assert.NilError(t, err)
 	sendTime := time.Duration(len(data)*vms) * time.Second / linkBytesPerSecond
@@ -65,4 +65,7 @@
 	assert.NilError(t, cbor.Unmarshal(data, &received))
 	member.gateway.applySummary(now, &received)
 	assert.Equal(t, member.gateway.table.Load().Version, uint64(2))
+
+	earlier := g.mergeReport(now, &vm.Report{VM: "vm-3", SyncedRevision: listed})
+	assert.Assert(t, !earlier.View.Items[0].Packed, "a VM of an earlier version of the program reads no compressed value")
 }
