--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -156,7 +156,7 @@
 	}
 	EndpointEnded = Event{
 		512, logrus.InfoLevel, "endpoint ended the connection during a request; the request may have crashed it",
-		[]string{"request", "print", "caller", "target", "runner", "sinceSendMs", "early", "crashes", "error"},
+		[]string{"request", "print", "caller", "target", "parts", "runner", "sinceSendMs", "early", "crashes", "error"},
 		"Lines with the same print belong to one request and its retries. If several runners end under it, find its caller.",
 	}
 	CrashRecordDropped = Event{
--- a/state/fleet/request.go
+++ b/state/fleet/request.go
@@ -45,6 +45,15 @@
 	TargetLatency time.Duration
 }
 
+// SharedParts returns the parts that other requests may share, which is all but the last.
+func (r *Request) SharedParts() []uint64 {
+	var shared []uint64
+	for i := 0; i+1 < len(r.Parts); i++ {
+		shared = append(shared, r.Parts[i].ID)
+	}
+	return shared
+}
+
 // SharedTokens returns the number of prompt tokens in parts that other requests may share, which is all but the last.
 func (r *Request) SharedTokens() int {
 	tokens := 0
--- a/state/quarantine/runs.go
+++ b/state/quarantine/runs.go
@@ -21,6 +21,8 @@
 	Request string
 	Caller  netip.Addr
 	Target  string
+	// Parts are the parts of the prompt that other requests may share, in order.
+	Parts []uint64
 }
 
 // Run is one attempt of a request on an endpoint.
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/netip"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -92,7 +93,9 @@
 	x.run = x.gateway.crashes.runs.Begin(
 		now, quarantine.Fingerprint(x.request.Fingerprint), runner.ID, runner.Incarnation, x.run,
 	)
-	x.run.Origin = quarantine.Origin{Request: x.request.ID, Caller: x.request.Caller, Target: x.request.Target}
+	x.run.Origin = quarantine.Origin{
+		Request: x.request.ID, Caller: x.request.Caller, Target: x.request.Target, Parts: x.request.SharedParts(),
+	}
 }
 
 // endRun records that the result of the run is known. A response with a success status that arrived whole clears the
@@ -138,7 +141,8 @@
 	}
 	crashRecords.Add("recorded", 1)
 	g.log.Emit(
-		eventlog.EndpointEnded, origin.Request, crash.Fingerprint.String(), origin.Caller, origin.Target, crash.Endpoint,
+		eventlog.EndpointEnded, origin.Request, crash.Fingerprint.String(), origin.Caller, origin.Target,
+		partNames(origin.Parts), crash.Endpoint,
 		crash.EndedAt.Sub(crash.SentAt).Milliseconds(), crash.Early, len(suspicion.Endpoints), evidence,
 	)
 	if suspicion.Quarantined() && !refused {
@@ -146,6 +150,16 @@
 	}
 }
 
+// partNames returns parts of a prompt as callers name them.
+func partNames(parts []uint64) []string {
+	const base = 16
+	names := make([]string, 0, len(parts))
+	for _, part := range parts {
+		names = append(names, strconv.FormatUint(part, base))
+	}
+	return names
+}
+
 // recordRunnerStart records that the runner of an entry has started: its earlier incarnation has ended, and so has any
 // other runner at its address. It must be called before the entry is put into the directory. The caller must hold the
 // lock.
