--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -31,10 +32,12 @@
 	Get bool
 	// Model is the model, or the model and an adapter separated by a slash. It is empty for plain services.
 	Model string
-	Body  []byte
+	// Prompt lists the parts of the prompt of a request to a model as ID:TOKENS pairs. An empty one stands for two parts.
+	Prompt string
+	Body   []byte
 }
 
-// NewRequest returns the HTTP request to a VM. Requests to a model get fixed token counts and prompt prefixes.
+// NewRequest returns the HTTP request to a VM. Requests to a model get fixed token counts.
 func NewRequest(ctx context.Context, vm netip.AddrPort, r Request) (*http.Request, error) {
 	method := http.MethodPost
 	if r.Get {
@@ -50,7 +53,7 @@
 	if r.Model != "" {
 		request.Header.Set("X-Zinniaroute-Model", r.Model)
 		request.Header.Set("X-Zinniaroute-Token-Count", "100,50")
-		request.Header.Set("X-Zinniaroute-Prompt-Prefix", "a1:50,b2:50")
+		request.Header.Set("X-Zinniaroute-Prompt-Prefix", cmp.Or(r.Prompt, "a1:50,b2:50"))
 	}
 	return request, nil
 }
--- a/standin/modelrunner/crash.go
+++ b/standin/modelrunner/crash.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -13,10 +14,12 @@
 
 // Crash describes how a request crashes the runner that runs it.
 type Crash struct {
-	// Body is the body, and Path the path without the query, of the requests that crash the runner. An empty one matches
-	// no request.
+	// Body is the body, and Path the path without the query, of the requests that crash the runner. Empty fields match no
+	// request.
 	Body string
 	Path string
+	// Part is a part of a prompt, in any place but the last.
+	Part string
 	// After is the time from the start of the run to the crash.
 	After time.Duration
 	// Silent means that the runner closes no connection when it crashes.
@@ -26,7 +29,14 @@
 }
 
 func (c Crash) matches(request *app.RequestContext) bool {
-	return c.Body != "" && string(request.Request.Body()) == c.Body || c.Path != "" && string(request.Path()) == c.Path
+	return c.Body != "" && string(request.Request.Body()) == c.Body || c.Path != "" && string(request.Path()) == c.Path ||
+		c.Part != "" && HasSharedPart(string(request.GetHeader(headerPrompt)), c.Part)
+}
+
+// HasSharedPart reports whether a prompt has a part in any place but the last.
+func HasSharedPart(prompt, part string) bool {
+	parts := strings.Split(prompt, ",")
+	return slices.ContainsFunc(parts[:len(parts)-1], func(p string) bool { return strings.HasPrefix(p, part+":") })
 }
 
 // SetCrash sets which requests crash the runner from now on, and how.
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -21,6 +21,7 @@
 const (
 	headerAttempt     = "X-Zinniaroute-Attempt-Id"
 	headerModel       = "X-Zinniaroute-Model"
+	headerPrompt      = "X-Zinniaroute-Prompt-Prefix"
 	headerTarget      = "X-Zinniaroute-Target-Instance"
 	headerSeal        = "X-Zinniaroute-Response-Seal"
 	headerLastEventID = "Last-Event-Id"
@@ -64,6 +65,7 @@
 	Attempt string
 	Path    string
 	Body    string
+	Prompt  string
 	// ResumeAfter is the ID of the event after which the caller resumes the stream.
 	ResumeAfter string
 	// Cancelled means that the caller disconnected before the end.
@@ -75,7 +77,7 @@
 func newRun(c *app.RequestContext) Run {
 	return Run{
 		Attempt: string(c.GetHeader(headerAttempt)), Path: string(c.Request.Header.RequestURI()),
-		Body: string(c.Request.Body()), ResumeAfter: string(c.GetHeader(headerLastEventID)), At: time.Now(),
+		Body: string(c.Request.Body()), Prompt: string(c.GetHeader(headerPrompt)), ResumeAfter: string(c.GetHeader(headerLastEventID)), At: time.Now(),
 	}
 }
 
