Refuse requests with a part of a prompt that crashes runners

Cause: crashes were added up by request. No two of these requests are alike, so each had one crash, and none was refused.

The new tests fail without the tracker.

A crash record now has the shared parts of its prompt, unless the run had been answered for half a second. VMs exchange the records, and the times at which requests with a part were answered, as sets; from these each VM decides alike. A part is quarantined after three crashes without such an answer, the first part of prompts after five within two seconds or more; crashes of several runners at once count as one, and a crash that a quarantined part explains does not count for others. The quarantine lasts ten minutes and lies in the store like that of a request (events 517 and 518, partsQuarantined and partRefused in gatewayCrashRecords, quarantinedParts in the state dump).

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -174,6 +174,16 @@
 		[]string{"print", "error"},
 		"Check the store; until then a quarantine does not outlast a restart of all VMs.",
 	}
+	PartRefused = Event{
+		517, logrus.WarnLevel, "request refused: a part of its prompt is quarantined, because it crashed several endpoints",
+		[]string{"request", "part", "waitMs"},
+		"Find out what the part holds; requests without it are served.",
+	}
+	PartQuarantined = Event{
+		518, logrus.WarnLevel, "part of prompts quarantined: several endpoints ended under requests with it",
+		[]string{"part", "crashes", "runners", "source"},
+		"Find the callers by the lines of event 512 with the same part.",
+	}
 	QuarantineUnreadable = Event{
 		516, logrus.WarnLevel, "stored quarantine could not be read; it is ignored",
 		[]string{"print", "revision", "error"},
@@ -297,7 +307,7 @@
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined,
 		RequestServed, RequestNotServed, LogLinesDropped,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
-		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable,
+		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- a/integration/gateway_part_test.go
+++ b/integration/gateway_part_test.go
@@ -53,8 +53,10 @@
 	return response.StatusCode
 }
 
-func TestRequestsWithOnePromptPartKeepCrashingRunners(t *testing.T) {
-	d := newDeployment(t)
+// partDeployment starts gateways and runners that crash on a part of prompts.
+func partDeployment(t *testing.T) (d *deployment, gateways []string) {
+	t.Helper()
+	d = newDeployment(t)
 	for i := range 8 {
 		d.addRunner(fmt.Sprint("r", i), modelService, "large").SetCrash(modelrunner.Crash{
 			Part: crashingPart, After: 60 * time.Millisecond, NewID: true,
@@ -67,6 +69,38 @@
 	for _, name := range names {
 		waitUntil(t, name+" serves", func() bool { return d.send(name, modelPath, "large").status == 200 })
 	}
+	return d, names
+}
+
+func TestQuarantineOfAPromptPartIsLostWithAllGateways(t *testing.T) {
+	d, names := partDeployment(t)
+	sent := 0
+	refused := func(name string) bool {
+		sent++
+		return d.sendPrompt(t.Context(), name, crashingPart, sent) == 503
+	}
+	waitUntil(t, "every gateway refuses requests with the part", func() bool {
+		group.Sleep(t.Context(), 200*time.Millisecond)
+		return refused(names[0]) && refused(names[1]) && refused(names[2])
+	})
+	group.Sleep(t.Context(), time.Second)
+	for _, name := range names {
+		d.processes[name].kill()
+	}
+	before := len(d.crashes())
+	for _, name := range names {
+		d.startProcess(name, "gateway", "--settings", d.gateways[name].settings)
+	}
+	for _, name := range names {
+		d.waitGatewayReady(name)
+		waitUntil(t, name+" serves", func() bool { return d.send(name, modelPath, "large").status == 200 })
+		assert.Check(t, refused(name))
+	}
+	assert.Equal(t, len(d.crashes()), before)
+}
+
+func TestRequestsWithOnePromptPartKeepCrashingRunners(t *testing.T) {
+	d, names := partDeployment(t)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	d.group.Run("sound requests", func(context.Context) {
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -56,6 +56,9 @@
 	// it had sent by the answer before. Number 9 is not used again.
 	Crashes         []quarantine.Crash `cbor:"10,keyasint,omitempty"`
 	ReceivedCrashes uint64             `cbor:"11,keyasint,omitempty"`
+	// Clearances and ReceivedClearances are the same for the clearances of prompt parts.
+	Clearances         []quarantine.Clearance `cbor:"13,keyasint,omitempty"`
+	ReceivedClearances uint64                 `cbor:"14,keyasint,omitempty"`
 	// PackedViews reports that the VM reads views with compressed values.
 	PackedViews bool `cbor:"12,keyasint,omitempty"`
 }
@@ -82,6 +85,9 @@
 	// Number 10 is not used again.
 	Crashes     []quarantine.Crash `cbor:"11,keyasint,omitempty"`
 	SentCrashes uint64             `cbor:"12,keyasint,omitempty"`
+	// Clearances and SentClearances are the same for the clearances of prompt parts.
+	Clearances     []quarantine.Clearance `cbor:"13,keyasint,omitempty"`
+	SentClearances uint64                 `cbor:"14,keyasint,omitempty"`
 }
 
 // AdapterRequest asks the owner of a runner to load an adapter on it.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -24,7 +24,7 @@
 	// Store is the address of the platform's key-value store.
 	Store netip.AddrPort `json:"store"`
 	// MemoryMB is the memory that is available to the gateway process, in megabytes.
-	MemoryMB int    `json:"memoryMB"`
+	MemoryMB int `json:"memoryMB"`
 	// LinkMbps is the speed of the VM's link in megabits per second. VMs with a faster link are preferred as aggregator.
 	LinkMbps float64 `json:"linkMbps"`
 	Bounds   Bounds  `json:"bounds"`
--- a/state/quarantine/crash.go
+++ b/state/quarantine/crash.go
@@ -28,6 +28,9 @@
 	Early bool `cbor:"6,keyasint,omitempty" json:"early,omitempty"`
 	// Cleared means that another endpoint has completed the request since.
 	Cleared bool `cbor:"7,keyasint,omitempty" json:"cleared,omitempty"`
+	// Parts are the shared parts of the request's prompt, if one of them may have crashed the endpoint: the run had just
+	// begun to be answered, or had not.
+	Parts []uint64 `cbor:"8,keyasint,omitempty" json:"parts,omitempty"`
 }
 
 // Key identifies the run that the crash ended.
--- /dev/null
+++ b/state/quarantine/parts.go
@@ -0,0 +1,320 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	// minPartCrashes is the number of crashes from which requests with a part of a prompt are refused.
+	minPartCrashes = 3
+	// minFirstPartCrashes and minFirstPartTime, the time from the first to the last crash, apply to the first part of
+	// prompts. Many requests share it, so most crashes of any cause end a run with it, and refusing it refuses all of them.
+	// If another request with it is answered within that time, it is cleared.
+	minFirstPartCrashes = 5
+	minFirstPartTime    = 2 * time.Second
+	// commonCauseWindow is the time between crashes of several endpoints within which they count as one. A lost failure
+	// domain, or a link that resets connections, ends many runs at once.
+	commonCauseWindow = 100 * time.Millisecond
+	// maxOutages bounds the crashes of endpoints that are remembered, and maxRunsPerOutage the runs of each.
+	maxOutages       = 256
+	maxRunsPerOutage = 256
+)
+
+// Clearance records that a request with a part of a prompt began to be answered at a time, and was answered whole. The
+// crashes before that have another cause. A later time replaces an earlier one.
+type Clearance struct {
+	Part uint64    `cbor:"1,keyasint"`
+	At   time.Time `cbor:"2,keyasint"`
+}
+
+// Key identifies the part.
+func (c Clearance) Key() string { return PartName(c.Part) }
+
+// Version is the time in milliseconds.
+func (c Clearance) Version() uint64 { return uint64(max(0, c.At.UnixMilli())) }
+
+// PartName returns a part of a prompt in hexadecimal, as callers name it.
+func PartName(part uint64) string {
+	const base = 16
+	return strconv.FormatUint(part, base)
+}
+
+// PartSuspicion sums up the crashes of endpoints for which a part of a prompt is the likely cause.
+type PartSuspicion struct {
+	Part uint64 `json:"part"`
+	// Crashes is the number of crashes, where those of a common cause count as one.
+	Crashes int `json:"crashes"`
+	// LastCrashAt is the time of the latest crash.
+	LastCrashAt time.Time `json:"at"`
+	// Endpoints lists the endpoints in the order of the crashes.
+	Endpoints []string `json:"endpoints"`
+}
+
+// outage is the end of an endpoint, with the runs that it ended.
+type outage struct {
+	at   time.Time
+	runs []Crash
+}
+
+// PartTracker finds parts of prompts that crash each endpoint that begins to answer a request with them. It is not safe
+// for concurrent use.
+type PartTracker struct {
+	outages []*outage
+	// completed holds when requests with a part that were answered whole began to be answered, for this VM. Cleared holds
+	// the same times for those parts that have crashes on record, for all VMs.
+	completed recentSet
+	cleared   map[uint64]time.Time
+	// quarantined is decided anew when crashes or clearances change.
+	quarantined map[uint64]PartSuspicion
+}
+
+// NewPartTracker returns a tracker without crashes.
+func NewPartTracker() *PartTracker {
+	return &PartTracker{completed: newRecentSet(maxCompleted), cleared: make(map[uint64]time.Time)}
+}
+
+// RecordCrashes records crashes, also those that other VMs observed. It returns the parts that are quarantined because of
+// them, and the clearances of parts with which requests have been answered for this VM since.
+func (t *PartTracker) RecordCrashes(now time.Time, crashes []Crash) ([]PartSuspicion, []Clearance) {
+	changed := false
+	var clearances []Clearance
+	for _, c := range crashes {
+		if len(c.Parts) == 0 || expired(now, c) || !t.put(now, c) {
+			continue
+		}
+		changed = true
+		for _, part := range c.Parts {
+			if at, ok := t.completed.get(now, Fingerprint(part)); ok {
+				clearances = append(clearances, t.clear(part, at)...)
+			}
+		}
+	}
+	if !changed {
+		return nil, nil
+	}
+	return t.decide(), clearances
+}
+
+// put adds a run to the outage that ended it, and reports whether it was not known.
+func (t *PartTracker) put(now time.Time, c Crash) bool {
+	if c.EndedAt.After(now) {
+		// The clock of the VM that made the record is ahead.
+		c.EndedAt = now
+	}
+	for _, o := range t.outages {
+		if !o.runs[0].same(c) {
+			continue
+		}
+		known := slices.ContainsFunc(o.runs, func(r Crash) bool { return r.Key() == c.Key() })
+		if known || len(o.runs) >= maxRunsPerOutage {
+			return false
+		}
+		o.runs = append(o.runs, c)
+		if c.EndedAt.Before(o.at) {
+			o.at = c.EndedAt
+		}
+		return true
+	}
+	if len(t.outages) >= maxOutages {
+		t.outages = t.outages[1:]
+	}
+	t.outages = append(t.outages, &outage{at: c.EndedAt, runs: []Crash{c}})
+	return true
+}
+
+// RecordCompleted records that a request with parts was answered whole, from a time on. It returns the clearances that
+// other VMs need.
+func (t *PartTracker) RecordCompleted(parts []uint64, begunAt time.Time) []Clearance {
+	var clearances []Clearance
+	for _, part := range parts {
+		t.completed.add(Fingerprint(part), begunAt)
+		clearances = append(clearances, t.clear(part, begunAt)...)
+	}
+	if len(clearances) > 0 {
+		t.decide()
+	}
+	return clearances
+}
+
+// clear records the time of a clearance, and returns it if it clears a crash.
+func (t *PartTracker) clear(part uint64, at time.Time) []Clearance {
+	before := t.cleared[part]
+	for _, o := range t.outages {
+		if o.at.After(before) && !o.at.After(at) && o.depth(part) >= 0 {
+			t.cleared[part] = at
+			return []Clearance{{Part: part, At: at}}
+		}
+	}
+	return nil
+}
+
+// Merge adds clearances of other VMs.
+func (t *PartTracker) Merge(clearances []Clearance) {
+	changed := false
+	for _, c := range clearances {
+		if c.At.After(t.cleared[c.Part]) {
+			t.cleared[c.Part] = c.At
+			changed = true
+		}
+	}
+	if changed {
+		t.decide()
+	}
+}
+
+// depth returns the place of a part in the prompts of the runs that an outage ended, or -1 if none had it.
+func (o *outage) depth(part uint64) int {
+	for _, r := range o.runs {
+		if i := slices.Index(r.Parts, part); i >= 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// decide finds the quarantined parts and returns those that were not before. A crash has one cause: crashes that a
+// quarantined part explains do not count for others.
+func (t *PartTracker) decide() []PartSuspicion {
+	unexplained := slices.Clone(t.outages)
+	slices.SortFunc(unexplained, func(a, b *outage) int { return a.at.Compare(b.at) })
+	quarantined := make(map[uint64]PartSuspicion)
+	for {
+		likely := t.likeliest(unexplained)
+		if len(likely) == 0 {
+			break
+		}
+		for _, s := range likely {
+			quarantined[s.Part] = s
+		}
+		unexplained = slices.DeleteFunc(unexplained, func(o *outage) bool {
+			return slices.ContainsFunc(likely, func(s PartSuspicion) bool { return t.suspects(o, s.Part) })
+		})
+	}
+	var added []PartSuspicion
+	for part, s := range quarantined {
+		if _, known := t.quarantined[part]; !known {
+			added = append(added, s)
+		}
+	}
+	t.quarantined = quarantined
+	return added
+}
+
+// suspects reports whether a part may have caused an outage.
+func (t *PartTracker) suspects(o *outage, part uint64) bool {
+	return o.at.After(t.cleared[part]) && o.depth(part) >= 0
+}
+
+// likeliest returns the part with the most crashes, if they suffice. Of several it takes the one that is deepest in
+// prompts, since fewer requests share it. It returns none while several parts are equally likely, and all of them once
+// the crashes suffice for a first part.
+func (t *PartTracker) likeliest(outages []*outage) []PartSuspicion {
+	type candidate struct {
+		PartSuspicion
+		depth        int
+		firstCrashAt time.Time
+	}
+	candidates := make(map[uint64]*candidate)
+	for _, o := range outages {
+		for _, part := range o.parts() {
+			if !t.suspects(o, part) {
+				continue
+			}
+			c := candidates[part]
+			if c == nil {
+				c = &candidate{PartSuspicion: PartSuspicion{Part: part}, depth: o.depth(part), firstCrashAt: o.at}
+				candidates[part] = c
+			}
+			if c.Crashes == 0 || o.at.Sub(c.LastCrashAt) >= commonCauseWindow {
+				c.Crashes++
+			}
+			c.LastCrashAt = o.at
+			c.Endpoints = append(c.Endpoints, o.runs[0].Endpoint)
+		}
+	}
+	var likely []*candidate
+	for _, c := range candidates {
+		enough := c.Crashes >= minPartCrashes
+		if c.depth == 0 {
+			enough = c.Crashes >= minFirstPartCrashes && c.LastCrashAt.Sub(c.firstCrashAt) >= minFirstPartTime
+		}
+		if enough {
+			likely = append(likely, c)
+		}
+	}
+	if len(likely) == 0 {
+		return nil
+	}
+	// A first part is the cause only if no other one is.
+	slices.SortFunc(likely, func(a, b *candidate) int {
+		return cmp.Or(
+			cmp.Compare(min(b.depth, 1), min(a.depth, 1)), cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(b.depth, a.depth),
+		)
+	})
+	best := likely[0]
+	var tied []PartSuspicion
+	for _, c := range likely {
+		if c.Crashes == best.Crashes && c.depth == best.depth {
+			tied = append(tied, c.PartSuspicion)
+		}
+	}
+	if len(tied) > 1 && best.Crashes < minFirstPartCrashes {
+		return nil
+	}
+	return tied
+}
+
+// parts returns the parts of the runs that an outage ended, each once.
+func (o *outage) parts() []uint64 {
+	var parts []uint64
+	for _, r := range o.runs {
+		parts = append(parts, r.Parts...)
+	}
+	slices.Sort(parts)
+	return slices.Compact(parts)
+}
+
+// RetryAfter returns the time until requests with the parts are no longer refused and the part that is quarantined, or
+// zero when none is.
+func (t *PartTracker) RetryAfter(now time.Time, parts []uint64) (wait time.Duration, part uint64) {
+	for _, p := range parts {
+		s, ok := t.quarantined[p]
+		if w := s.LastCrashAt.Add(SuspicionTTL).Sub(now); ok && w > wait {
+			wait, part = w, p
+		}
+	}
+	return wait, part
+}
+
+// Quarantined returns the quarantined parts, sorted.
+func (t *PartTracker) Quarantined() []PartSuspicion {
+	return slices.SortedFunc(maps.Values(t.quarantined), func(a, b PartSuspicion) int { return cmp.Compare(a.Part, b.Part) })
+}
+
+// Crashes returns a record of each crash that a part may have caused.
+func (t *PartTracker) Crashes(part uint64) []Crash {
+	var crashes []Crash
+	for _, o := range t.outages {
+		if !t.suspects(o, part) {
+			continue
+		}
+		i := slices.IndexFunc(o.runs, func(r Crash) bool { return slices.Contains(r.Parts, part) })
+		crashes = append(crashes, o.runs[i])
+	}
+	return crashes
+}
+
+// Expire removes the crashes whose time has passed.
+func (t *PartTracker) Expire(now time.Time) {
+	before := len(t.outages)
+	t.outages = slices.DeleteFunc(t.outages, func(o *outage) bool { return now.Sub(o.at) >= SuspicionTTL })
+	if len(t.outages) == before {
+		return
+	}
+	maps.DeleteFunc(t.cleared, func(_ uint64, at time.Time) bool { return now.Sub(at) >= SuspicionTTL })
+	t.decide()
+}
--- a/state/quarantine/runs.go
+++ b/state/quarantine/runs.go
@@ -9,6 +9,8 @@
 const (
 	// progressTime is the time after the first byte of an answer from which a crash no longer counts as early.
 	progressTime = 2 * time.Second
+	// partCrashTime is the time after the first byte of an answer within which a part of the prompt crashes the endpoint.
+	partCrashTime = 500 * time.Millisecond
 	// maxRestartTime bounds the time from the end of an endpoint to its next start.
 	maxRestartTime = 10 * time.Second
 	// unansweredTTL is how long a run that ended without an answer is kept. It covers maxRestartTime and the time until
@@ -43,15 +45,22 @@
 // SentAt returns the time at which the request was sent.
 func (r *Run) SentAt() time.Time { return r.sentAt }
 
+// AnsweredAt returns the time of the first byte of the answer, or zero.
+func (r *Run) AnsweredAt() time.Time { return r.answeredAt }
+
 // RecordFirstByte records that the answer began to arrive.
 func (r *Run) RecordFirstByte(now time.Time) { r.answeredAt = now }
 
 // Crash returns the record of the endpoint's end during the run.
 func (r *Run) Crash(endedAt time.Time) Crash {
-	return Crash{
+	crash := Crash{
 		Fingerprint: r.fingerprint, Endpoint: r.endpoint, Incarnation: r.incarnation, SentAt: r.sentAt, EndedAt: endedAt,
 		Early: !r.Progressed(endedAt),
 	}
+	if !r.progressed && (r.answeredAt.IsZero() || endedAt.Sub(r.answeredAt) < partCrashTime) {
+		crash.Parts = r.Origin.Parts
+	}
+	return crash
 }
 
 // Progressed reports whether the request has made progress by a time, here or before.
--- a/transport/gateway/aggregator.go
+++ b/transport/gateway/aggregator.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strings"
 	"time"
-
 )
 
 // aggregator returns the aggregator: the first candidate that is this VM or a peer without backoff. It returns "" if
@@ -71,4 +70,3 @@
 	delete(g.memberValues, name)
 	g.aggregators = nil
 }
-
--- a/transport/gateway/operations.go
+++ b/transport/gateway/operations.go
@@ -7,6 +7,7 @@
 	"github.com/zinniaroute/zinniaroute/coordination/ownership"
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
+	"github.com/zinniaroute/zinniaroute/state/quarantine"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 	"github.com/zinniaroute/zinniaroute/transport/group"
 	"github.com/zinniaroute/zinniaroute/transport/httpserve"
@@ -41,6 +42,9 @@
 	// RemainingRetries is the number of retries that may be sent now, by service.
 	RemainingRetries map[string]int `json:"repeatsLeft"`
 	Runners          []RunnerDump   `json:"runners"`
+	// Suspicions are the requests during which endpoints ended, and QuarantinedParts the parts of prompts that are refused.
+	Suspicions       []quarantine.Suspicion     `json:"suspicions"`
+	QuarantinedParts []quarantine.PartSuspicion `json:"quarantinedParts"`
 	// Scheduler is the state from which the choices of runners for requests can be repeated.
 	Scheduler dispatch.Snapshot `json:"desk"`
 }
@@ -83,6 +87,7 @@
 		VM: g.settings.Name, Domain: g.settings.Domain, StartedAt: g.startedAt, Stopping: g.stopping.Load(),
 		InFlight: g.inFlight.Load(), StoreRevision: g.knownRevision, StoreSyncedAt: g.syncedAt, Aggregator: aggregator,
 		Members: g.owners.Members(), RemainingRetries: make(map[string]int), Scheduler: g.scheduler.Snapshot(now),
+		Suspicions: g.crashes.tracker.All(now), QuarantinedParts: g.crashes.parts.Quarantined(),
 	}
 	if table := g.table.Load(); table != nil {
 		d.ConfigurationVersion = table.Version
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -4,8 +4,8 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/netip"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -39,22 +39,33 @@
 // errStartedAgain is the evidence of a crash that ended no connection here.
 var errStartedAgain = errors.New("the runner started again")
 
+// recordSet holds the records that VMs exchange through the aggregator.
+type recordSet[R dissemination.Record] struct {
+	*dissemination.Table[R]
+	// sent is the number of changes that the aggregator has received, and received the number of its changes that this VM
+	// has. Both hold for the aggregator process that answered last.
+	sent, received uint64
+}
+
+func newRecordSet[R dissemination.Record]() recordSet[R] {
+	return recordSet[R]{Table: dissemination.NewTable[R]()}
+}
+
 // crashState holds what a VM knows of crashes during requests. The gateway's lock protects it.
 type crashState struct {
 	tracker *quarantine.Tracker
-	// records holds the same crashes in the form in which VMs exchange them.
-	records *dissemination.Table[quarantine.Crash]
-	// sent is the number of changes of records that the aggregator has received, and received the number of its changes
-	// that this VM has. Both hold for the aggregator process that answered last.
-	sent, received uint64
-	runs           *quarantine.Runs
+	parts   *quarantine.PartTracker
+	// records holds the same crashes, and clearances the clearances of prompt parts, in the form in which VMs exchange them.
+	records    recordSet[quarantine.Crash]
+	clearances recordSet[quarantine.Clearance]
+	runs       *quarantine.Runs
 	// occupants maps an address to the runner that was last seen there.
 	occupants map[netip.AddrPort]occupant
-	// stored holds the fingerprints of the quarantines that the store has. missingSince is the time since when it has
-	// lacked one, and observed holds those with a crash that this VM observed itself.
+	// stored holds the names of the quarantines that the store has. missingSince is the time since when it has lacked one,
+	// and observed holds when this VM last observed a crash of one itself.
 	stored       map[string]bool
-	missingSince map[quarantine.Fingerprint]time.Time
-	observed     map[quarantine.Fingerprint]bool
+	missingSince map[string]time.Time
+	observed     map[string]time.Time
 	// logged holds the quarantines that this VM has logged.
 	logged map[quarantine.Fingerprint]bool
 }
@@ -66,25 +77,34 @@
 
 func newCrashState() crashState {
 	return crashState{
-		tracker: quarantine.NewTracker(), records: dissemination.NewTable[quarantine.Crash](), runs: quarantine.NewRuns(),
+		tracker: quarantine.NewTracker(), parts: quarantine.NewPartTracker(), runs: quarantine.NewRuns(),
+		records: newRecordSet[quarantine.Crash](), clearances: newRecordSet[quarantine.Clearance](),
 		occupants: make(map[netip.AddrPort]occupant), stored: make(map[string]bool),
-		missingSince: make(map[quarantine.Fingerprint]time.Time), observed: make(map[quarantine.Fingerprint]bool),
+		missingSince: make(map[string]time.Time), observed: make(map[string]time.Time),
 		logged: make(map[quarantine.Fingerprint]bool),
 	}
 }
 
-// quarantineRefusal returns the refusal of a request that is quarantined because it crashed several endpoints, or nil.
+// quarantineRefusal returns the refusal of a request that is quarantined because it, or requests with a part of its
+// prompt, crashed several endpoints, or nil.
 func (g *Gateway) quarantineRefusal(now time.Time, x *exchange) *lifecycle.NoEndpoint {
 	fingerprint := quarantine.Fingerprint(x.request.Fingerprint)
 	g.mu.Lock()
 	retryAfter := g.crashes.tracker.RetryAfter(now, fingerprint)
+	partRetryAfter, part := g.crashes.parts.RetryAfter(now, x.request.SharedParts())
 	g.mu.Unlock()
-	if retryAfter <= 0 {
+	switch {
+	case retryAfter > 0:
+		crashRecords.Add("refused", 1)
+		g.log.Emit(eventlog.RequestQuarantined, x.request.ID, fingerprint.String(), retryAfter.Milliseconds())
+		return &lifecycle.NoEndpoint{Reason: "the request has crashed several endpoints", RetryAfter: retryAfter}
+	case partRetryAfter > 0:
+		crashRecords.Add("partRefused", 1)
+		g.log.Emit(eventlog.PartRefused, x.request.ID, quarantine.PartName(part), partRetryAfter.Milliseconds())
+		return &lifecycle.NoEndpoint{Reason: "a part of the prompt has crashed several endpoints", RetryAfter: partRetryAfter}
+	default:
 		return nil
 	}
-	crashRecords.Add("refused", 1)
-	g.log.Emit(eventlog.RequestQuarantined, x.request.ID, fingerprint.String(), retryAfter.Milliseconds())
-	return &lifecycle.NoEndpoint{Reason: "the request has crashed several endpoints", RetryAfter: retryAfter}
 }
 
 // beginRun records that the request is sent to its endpoint. The caller must hold the lock.
@@ -106,6 +126,7 @@
 	if !succeeded {
 		return
 	}
+	g.putClearances(now, g.crashes.parts.RecordCompleted(x.run.Origin.Parts, x.run.AnsweredAt()))
 	fingerprint := quarantine.Fingerprint(x.request.Fingerprint)
 	cleared := g.crashes.tracker.RecordCompleted(now, fingerprint, x.choice.Runner.ID, x.run.SentAt())
 	if len(cleared) == 0 {
@@ -135,10 +156,14 @@
 func (g *Gateway) recordCrash(now time.Time, origin quarantine.Origin, crash quarantine.Crash, evidence error) {
 	refused := g.crashes.tracker.RetryAfter(now, crash.Fingerprint) > 0
 	suspicion := g.crashes.tracker.RecordCrash(now, crash)
-	if len(suspicion.Endpoints) > 0 {
+	if len(suspicion.Endpoints) > 0 || len(crash.Parts) > 0 {
 		g.putCrashRecords(now, []quarantine.Crash{crash})
-		g.crashes.observed[crash.Fingerprint] = true
+		g.crashes.observed[crash.Fingerprint.String()] = now
 	}
+	for _, part := range crash.Parts {
+		g.crashes.observed[partKey(part)] = now
+	}
+	g.recordPartCrashes(now, "this VM", []quarantine.Crash{crash})
 	crashRecords.Add("recorded", 1)
 	g.log.Emit(
 		eventlog.EndpointEnded, origin.Request, crash.Fingerprint.String(), origin.Caller, origin.Target,
@@ -150,16 +175,36 @@
 	}
 }
 
+// recordPartCrashes adds crashes to those from which the quarantined parts of prompts are found. The caller must hold
+// the lock.
+func (g *Gateway) recordPartCrashes(now time.Time, source string, crashes []quarantine.Crash) {
+	quarantined, clearances := g.crashes.parts.RecordCrashes(now, crashes)
+	g.putClearances(now, clearances)
+	for _, s := range quarantined {
+		crashRecords.Add("partsQuarantined", 1)
+		g.log.Emit(eventlog.PartQuarantined, quarantine.PartName(s.Part), s.Crashes, s.Endpoints, source)
+	}
+}
+
+// putClearances adds clearances to those that VMs exchange. The caller must hold the lock.
+func (g *Gateway) putClearances(now time.Time, clearances []quarantine.Clearance) {
+	for _, c := range clearances {
+		g.crashes.clearances.Put(now, c)
+	}
+}
+
 // partNames returns parts of a prompt as callers name them.
 func partNames(parts []uint64) []string {
-	const base = 16
 	names := make([]string, 0, len(parts))
 	for _, part := range parts {
-		names = append(names, strconv.FormatUint(part, base))
+		names = append(names, quarantine.PartName(part))
 	}
 	return names
 }
 
+// partKey returns the name of the quarantine of a part in the store.
+func partKey(part uint64) string { return "part-" + quarantine.PartName(part) }
+
 // recordRunnerStart records that the runner of an entry has started: its earlier incarnation has ended, and so has any
 // other runner at its address. It must be called before the entry is put into the directory. The caller must hold the
 // lock.
@@ -208,55 +253,67 @@
 	quarantined, cleared := g.crashes.tracker.Merge(now, crashes)
 	g.putCrashRecords(now, cleared)
 	g.logQuarantines(source, quarantined...)
+	g.recordPartCrashes(now, source, crashes)
+}
+
+// mergeClearances adds clearances of another VM. The caller must hold the lock.
+func (g *Gateway) mergeClearances(now time.Time, clearances []quarantine.Clearance) {
+	g.putClearances(now, clearances)
+	g.crashes.parts.Merge(clearances)
 }
 
 // expireCrashes removes the crashes and runs whose time has passed. The caller must hold the lock.
 func (g *Gateway) expireCrashes(now time.Time) {
 	g.crashes.tracker.Expire(now)
+	g.crashes.parts.Expire(now)
 	g.crashes.records.Expire(now.Add(-quarantine.SuspicionTTL))
+	g.crashes.clearances.Expire(now.Add(-quarantine.SuspicionTTL))
 	g.crashes.runs.Expire(now)
+	maps.DeleteFunc(g.crashes.observed, func(_ string, at time.Time) bool { return now.Sub(at) >= quarantine.SuspicionTTL })
 	for fingerprint := range g.crashes.logged {
 		if len(g.crashes.tracker.Crashes(now, fingerprint)) == 0 {
 			delete(g.crashes.logged, fingerprint)
 		}
 	}
-	for fingerprint := range g.crashes.observed {
-		if len(g.crashes.tracker.Crashes(now, fingerprint)) == 0 {
-			delete(g.crashes.observed, fingerprint)
-			delete(g.crashes.missingSince, fingerprint)
-		}
-	}
 }
 
-// addCrashes adds to a report the crash records that the aggregator lacks. It returns the number of changes that the
-// aggregator has after the report. The caller must hold the lock.
-func (g *Gateway) addCrashes(report *vm.Report) uint64 {
-	var changes uint64
-	report.Crashes, changes = g.crashes.records.ChangedSince(g.crashes.sent)
-	report.ReceivedCrashes = g.crashes.received
-	return changes
+// sentRecords holds the numbers of changes that the aggregator has after a report.
+type sentRecords struct{ crashes, clearances uint64 }
+
+// addCrashes adds to a report the crash records and clearances that the aggregator lacks. It returns what the aggregator
+// has after the report. The caller must hold the lock.
+func (g *Gateway) addCrashes(report *vm.Report) sentRecords {
+	var sent sentRecords
+	report.Crashes, sent.crashes = g.crashes.records.ChangedSince(g.crashes.records.sent)
+	report.ReceivedCrashes = g.crashes.records.received
+	report.Clearances, sent.clearances = g.crashes.clearances.ChangedSince(g.crashes.clearances.sent)
+	report.ReceivedClearances = g.crashes.clearances.received
+	return sent
 }
 
-// recordCrashExchange records the crash records that a report and its summary exchanged. The records that were sent
-// under the number of another aggregator process are sent again. The caller must hold the lock.
-func (g *Gateway) recordCrashExchange(now time.Time, report *vm.Report, changes uint64, s *vm.Summary) {
-	g.crashes.sent = changes
+// recordCrashExchange records the crash records and clearances that a report and its summary exchanged. The records that
+// were sent under the number of another aggregator process are sent again. The caller must hold the lock.
+func (g *Gateway) recordCrashExchange(now time.Time, report *vm.Report, sent sentRecords, s *vm.Summary) {
 	if s.Aggregator != report.Aggregator {
-		g.crashes.sent = 0
+		sent = sentRecords{}
 	}
-	g.crashes.received = s.SentCrashes
+	g.crashes.records.sent, g.crashes.clearances.sent = sent.crashes, sent.clearances
+	g.crashes.records.received, g.crashes.clearances.received = s.SentCrashes, s.SentClearances
+	g.mergeClearances(now, s.Clearances)
 	g.mergeCrashes(now, "aggregator", s.Crashes)
 }
 
-// exchangeCrashes merges the crash records of a report, and adds those that the reporting VM lacks to its summary. The
-// caller must hold the lock.
+// exchangeCrashes merges the crash records and clearances of a report, and adds those that the reporting VM lacks to its
+// summary. The caller must hold the lock.
 func (g *Gateway) exchangeCrashes(now time.Time, received *vm.Report, s *vm.Summary) {
+	g.mergeClearances(now, received.Clearances)
 	g.mergeCrashes(now, received.VM, received.Crashes)
-	known := received.ReceivedCrashes
+	knownCrashes, knownClearances := received.ReceivedCrashes, received.ReceivedClearances
 	if received.Aggregator != g.incarnation {
-		known = 0
+		knownCrashes, knownClearances = 0, 0
 	}
-	s.Crashes, s.SentCrashes = g.crashes.records.ChangedSince(known)
+	s.Crashes, s.SentCrashes = g.crashes.records.ChangedSince(knownCrashes)
+	s.Clearances, s.SentClearances = g.crashes.clearances.ChangedSince(knownClearances)
 }
 
 // applyQuarantine applies a change of a quarantine's key. The caller must hold the lock.
@@ -283,56 +340,86 @@
 		g.expireCrashes(now)
 		pending := g.missingQuarantines(now)
 		g.mu.Unlock()
-		for _, suspicion := range pending {
-			if err := g.storeQuarantine(ctx, now, suspicion.Fingerprint); err != nil && !errors.Is(err, platform.ErrConflict) {
-				g.log.Emit(eventlog.QuarantineNotStored, suspicion.Fingerprint.String(), err)
+		for _, q := range pending {
+			if err := g.storeQuarantine(ctx, q); err != nil && !errors.Is(err, platform.ErrConflict) {
+				g.log.Emit(eventlog.QuarantineNotStored, q.name, err)
 				return
 			}
 		}
 	})
 }
 
-// missingQuarantines returns the quarantines that this VM should write to the store. The caller must hold the lock.
-func (g *Gateway) missingQuarantines(now time.Time) []quarantine.Suspicion {
-	var missing []quarantine.Suspicion
+// storedQuarantine is the quarantine of a request or of a part of prompts as the store holds it: the crashes that led to
+// it, for the time that it lasts.
+type storedQuarantine struct {
+	name    string
+	crashes []quarantine.Crash
+	ttl     time.Duration
+}
+
+// quarantines returns all quarantines. The caller must hold the lock.
+func (g *Gateway) quarantines(now time.Time) []storedQuarantine {
+	var all []storedQuarantine
 	for _, s := range g.crashes.tracker.All(now) {
-		if s.Quarantined() && !g.crashes.logged[s.Fingerprint] {
+		if !s.Quarantined() {
+			continue
+		}
+		if !g.crashes.logged[s.Fingerprint] {
 			g.logQuarantines("no completion since the crashes", s)
 		}
-		if !s.Quarantined() || g.crashes.stored[s.Fingerprint.String()] {
-			delete(g.crashes.missingSince, s.Fingerprint)
+		all = append(all, storedQuarantine{
+			name: s.Fingerprint.String(), crashes: g.crashes.tracker.Crashes(now, s.Fingerprint),
+			ttl: s.LastCrashAt.Add(quarantine.SuspicionTTL).Sub(now),
+		})
+	}
+	for _, s := range g.crashes.parts.Quarantined() {
+		all = append(all, storedQuarantine{
+			name: partKey(s.Part), crashes: g.crashes.parts.Crashes(s.Part),
+			ttl: s.LastCrashAt.Add(quarantine.SuspicionTTL).Sub(now),
+		})
+	}
+	return all
+}
+
+// missingQuarantines returns the quarantines that this VM should write to the store. The caller must hold the lock.
+func (g *Gateway) missingQuarantines(now time.Time) []storedQuarantine {
+	var missing []storedQuarantine
+	missingSince := make(map[string]time.Time)
+	for _, q := range g.quarantines(now) {
+		if g.crashes.stored[q.name] {
 			continue
 		}
-		since, known := g.crashes.missingSince[s.Fingerprint]
+		since, known := g.crashes.missingSince[q.name]
 		if !known {
 			since = now
-			g.crashes.missingSince[s.Fingerprint] = now
 		}
-		if g.crashes.observed[s.Fingerprint] || now.Sub(since) >= quarantineStoreDelay {
-			missing = append(missing, s)
+		missingSince[q.name] = since
+		if _, observed := g.crashes.observed[q.name]; observed || now.Sub(since) >= quarantineStoreDelay {
+			missing = append(missing, q)
 		}
 	}
+	g.crashes.missingSince = missingSince
 	return missing
 }
 
-// storeQuarantine writes the crashes of a quarantined request to the store, unless it has them.
-func (g *Gateway) storeQuarantine(ctx context.Context, now time.Time, f quarantine.Fingerprint) error {
-	g.mu.Lock()
-	ttl := min(g.crashes.tracker.RetryAfter(now, f), quarantine.SuspicionTTL)
-	value, err := json.Marshal(g.crashes.tracker.Crashes(now, f))
-	era := g.knownRevision.Era()
-	g.mu.Unlock()
-	if err != nil {
-		return errors.Wrap(err, "encode crashes")
-	}
+// storeQuarantine writes a quarantine to the store, unless it has it.
+func (g *Gateway) storeQuarantine(ctx context.Context, q storedQuarantine) error {
+	ttl := min(q.ttl, quarantine.SuspicionTTL)
 	if ttl < minQuarantineTTL {
 		return nil
 	}
+	value, err := json.Marshal(q.crashes)
+	if err != nil {
+		return errors.Wrap(err, "encode crashes")
+	}
+	g.mu.Lock()
+	era := g.knownRevision.Era()
+	g.mu.Unlock()
 	lease, _, err := g.store.GrantLease(ctx, ttl)
 	if err != nil {
 		return err
 	}
-	key := quarantinePrefix + f.String()
+	key := quarantinePrefix + q.name
 	_, err = g.store.Commit(ctx, platform.Transaction{
 		Era:        era,
 		Conditions: []platform.Condition{{Key: key}},
--- a/transport/gateway/quarantine_property_test.go
+++ b/transport/gateway/quarantine_property_test.go
@@ -144,11 +144,11 @@
 	defer v.gateway.mu.Unlock()
 	now := f.now.Add(v.skew)
 	for _, s := range v.gateway.missingQuarantines(now) {
-		value, err := json.Marshal(v.gateway.crashes.tracker.Crashes(now, s.Fingerprint))
+		value, err := json.Marshal(s.crashes)
 		if err != nil {
 			f.t.Fatal(err)
 		}
-		f.stored[quarantinePrefix+s.Fingerprint.String()] = value
+		f.stored[quarantinePrefix+s.name] = value
 	}
 }
 
