Take a stream that ends with its connection before a whole event for broken off

A response may have neither a length nor chunks and end with its connection. If the runner crashed before the first event, the caller got an empty stream that looked complete, and the run cleared the request and its prompt's parts. If it crashed within an event, the caller got a cut stream, but the end was not taken for a crash.

Both are now an unexpected end. TestStreamThatBreaksOffIsRelayedAsComplete failed before in the three cases without framing that break off.

--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -225,7 +225,7 @@
 		platform.CopyHead(&x.call.Response.Header, &x.context.Response.Header)
 		x.relay = newEventRelay(x.context)
 	}
-	err := x.relay.copy(x.call.Body())
+	err := x.relay.copy(x.call.Body(), x.call.EndsWithConnection())
 	switch {
 	case err == nil:
 		x.call.Done()
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -25,6 +25,8 @@
 	errCallerLeft     = errors.New("the caller closed the connection or reads too slowly")
 	errEventTooLong   = errors.New("the stream has more than 1 MiB without a new event")
 	errTruncatedEvent = errors.New("the stream ended within an event")
+	// errBrokenOff reports that the connection, which is the only end of the stream, ended before one could be whole.
+	errBrokenOff = errors.Wrap(io.ErrUnexpectedEOF, "the connection ended without a whole event")
 )
 
 type chunkWriter interface {
@@ -55,14 +57,17 @@
 	return &eventRelay{conn: c.GetConn(), writer: writer, lastID: -1}
 }
 
-// copy relays events until the stream ends. It skips events that an earlier attempt relayed.
-func (r *eventRelay) copy(body io.Reader) error {
+// copy relays events until the stream ends. It skips events that an earlier attempt relayed. EndsWithConnection means that
+// the end of the connection is the only end of the stream.
+func (r *eventRelay) copy(body io.Reader, endsWithConnection bool) error {
 	var pending []byte
+	empty := true
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := body.Read(buffer)
 		r.withoutProgress += n
 		pending = append(pending, buffer[:n]...)
+		empty = empty && n == 0
 		end := bytes.LastIndex(pending, []byte("\n\n"))
 		if end >= 0 {
 			if writeErr := r.write(pending[:end+2]); writeErr != nil {
@@ -71,6 +76,8 @@
 			pending = append(pending[:0], pending[end+2:]...)
 		}
 		switch {
+		case errors.Is(err, io.EOF) && endsWithConnection && (empty || len(bytes.TrimSpace(pending)) > 0):
+			return errBrokenOff
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) > 0:
 			return errTruncatedEvent
 		case errors.Is(err, io.EOF):
--- a/transport/gateway/stream_test.go
+++ b/transport/gateway/stream_test.go
@@ -51,9 +51,32 @@
 		t.Run(test.name, func(t *testing.T) {
 			body, writer := &endlessBody{text: test.text}, &memoryWriter{}
 			r := &eventRelay{conn: noTimeouts{}, writer: writer, lastID: -1}
-			assert.Check(t, r.copy(body) != nil)
+			assert.Check(t, r.copy(body, false) != nil)
 			assert.Check(t, body.read <= 2*maxEventBytes, "%d bytes read", body.read)
 			assert.Check(t, writer.written <= 2*maxEventBytes, "%d bytes relayed", writer.written)
 		})
 	}
 }
+
+func TestStreamThatBreaksOffIsRelayedAsComplete(t *testing.T) {
+	const event = "id: 1\ndata: x\n\n"
+	tests := []struct {
+		name, text         string
+		endsWithConnection bool
+		want               error
+	}{
+		{"framed, whole", event, false, nil},
+		{"framed, no event", "", false, nil},
+		{"framed, within an event", event + "id: 2\nda", false, errTruncatedEvent},
+		{"unframed, whole", event, true, nil},
+		{"unframed, no event", "", true, io.ErrUnexpectedEOF},
+		{"unframed, within an event", event + "id: 2\nda", true, io.ErrUnexpectedEOF},
+		{"unframed, before the end of an event", event + "id: 2\ndata: x\n", true, io.ErrUnexpectedEOF},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := &eventRelay{conn: noTimeouts{}, writer: &memoryWriter{}, lastID: -1}
+			assert.ErrorIs(t, r.copy(strings.NewReader(test.text), test.endsWithConnection), test.want)
+		})
+	}
+}
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -249,6 +249,10 @@
 	return err
 }
 
+// EndsWithConnection reports whether the response has neither a length nor chunks, so that the end of the connection is
+// its only end.
+func (e *Exchange) EndsWithConnection() bool { return e.untilClose }
+
 // Body returns a reader of the response body.
 func (e *Exchange) Body() io.Reader {
 	if e.untilClose {
