Do not apply content of the store that is older than what a forwarded view brought

A VM may read the store and be sent a view by the aggregator at the same time. A listing, events or whole content of an earlier revision were then applied over the view: a runner that had left came back, one that had come was dropped, and as the VM counted as up to date, nothing corrected it until the entry changed or the VM listed the store again.

Listings, events and views are now applied one at a time, and only what is later than the known revision. Whole content from another VM also replaces what this VM would forward. TestListingBringsBackARunnerThatAForwardedViewRemoved failed before in its three cases.

--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -57,6 +57,9 @@
 
 	table atomic.Pointer[routes.Table]
 
+	// applying serializes the application of listings, events and forwarded views. It is locked before mu.
+	applying sync.Mutex
+
 	mu           sync.Mutex
 	directory    *fleet.Directory
 	scheduler    *dispatch.Scheduler
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -103,21 +103,37 @@
 	if err != nil {
 		return 0, err
 	}
-	now := clock.Now()
 	grace := time.Duration(0)
 	if afterOutage {
 		grace = entryReturnGrace
 	}
+	return revision, g.applyStoreListing(requestedAt, clock.Now(), items, revision, grace)
+}
+
+// applyStoreListing applies the store's whole content at a revision, unless a forwarded view has brought this VM to that
+// revision meanwhile.
+func (g *Gateway) applyStoreListing(
+	requestedAt, now time.Time,
+	items []platform.Item,
+	revision fleet.Revision,
+	grace time.Duration,
+) error {
+	g.applying.Lock()
+	defer g.applying.Unlock()
 	g.mu.Lock()
 	if revision.Era() < g.knownRevision.Era() {
 		g.mu.Unlock()
-		return 0, platform.ErrHistoryLost
+		return platform.ErrHistoryLost
 	}
 	if g.beginEra(now, revision) {
 		grace = entryReturnGrace
 	}
 	g.graceUntil = now.Add(grace)
+	isKnown := revision < g.knownRevision
 	g.mu.Unlock()
+	if isKnown {
+		return nil
+	}
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
 		g.applyItem(now, item)
@@ -129,7 +145,7 @@
 	g.storeLog.ApplyListing(present, revision)
 	g.recordSync(requestedAt, revision)
 	g.notifyDirectoryChange()
-	return revision, nil
+	return nil
 }
 
 // applyListing removes what a complete listing lacks. The caller must hold the lock.
@@ -170,18 +186,8 @@
 		if err != nil {
 			return err
 		}
-		now := clock.Now()
-		for _, event := range events {
-			g.applyItem(now, event)
-		}
 		revision = max(revision, next)
-		g.mu.Lock()
-		g.recordSync(requestedAt, revision)
-		g.forgetRunners(g.directory.Expire(now))
-		if len(events) > 0 {
-			g.notifyDirectoryChange()
-		}
-		g.mu.Unlock()
+		g.applyEvents(requestedAt, clock.Now(), events, revision)
 		if !group.Sleep(ctx, watchInterval) {
 			return ctx.Err()
 		}
@@ -189,8 +195,34 @@
 	return nil
 }
 
+// applyEvents applies the events of a watch that brings this VM to a revision.
+func (g *Gateway) applyEvents(requestedAt, now time.Time, events []platform.Item, revision fleet.Revision) {
+	g.applying.Lock()
+	defer g.applying.Unlock()
+	g.applyChanges(now, events)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.recordSync(requestedAt, revision)
+	g.forgetRunners(g.directory.Expire(now))
+	if len(events) > 0 {
+		g.notifyDirectoryChange()
+	}
+}
+
+// applyChanges applies the changes after the known revision. Older ones may have been followed by a removal.
+func (g *Gateway) applyChanges(now time.Time, items []platform.Item) {
+	g.mu.Lock()
+	known := g.knownRevision
+	g.mu.Unlock()
+	for _, item := range items {
+		if item.Revision > known {
+			g.applyItem(now, item)
+		}
+	}
+}
+
 // applyView applies a view that another VM forwarded. It ignores one of an earlier era of the store than the known
-// content.
+// content, and whole content that is older than it.
 func (g *Gateway) applyView(now time.Time, v *relay.View, grace time.Duration) {
 	items, err := unpack(v.Items)
 	if err != nil {
@@ -200,8 +232,10 @@
 		g.mu.Unlock()
 		return
 	}
+	g.applying.Lock()
+	defer g.applying.Unlock()
 	g.mu.Lock()
-	outdated := v.Revision.Era() < max(g.knownRevision.Era(), g.store.Era())
+	outdated := v.Revision.Era() < max(g.knownRevision.Era(), g.store.Era()) || v.Full && v.Revision < g.knownRevision
 	if !outdated && g.beginEra(now, v.Revision) {
 		grace = max(grace, entryReturnGrace)
 	}
@@ -210,14 +244,19 @@
 		return
 	}
 	present := make(map[string]bool, len(v.Items))
+	changes := make([]platform.Item, 0, len(v.Items))
 	for _, item := range items {
 		present[item.Key] = true
-		g.applyItem(now, platform.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
+		changes = append(changes, platform.Item{
+			Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted,
+		})
 	}
+	g.applyChanges(now, changes)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if v.Full {
 		g.applyListing(now, present, grace)
+		g.storeLog.ApplyListing(present, v.Revision)
 	}
 	g.forgetRunners(g.directory.Expire(now))
 	g.lastViewAt = now
--- /dev/null
+++ b/transport/gateway/store_test.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/zinniaroute/zinniaroute/coordination/relay"
+	"github.com/zinniaroute/zinniaroute/platform"
+	"github.com/zinniaroute/zinniaroute/state/fleet"
+)
+
+// While a VM reads the store, another one may forward what has changed since.
+func TestListingBringsBackARunnerThatAForwardedViewRemoved(t *testing.T) {
+	entry, err := json.Marshal(map[string]any{
+		"service": "plain", "address": "10.0.0.9:8000", "zone": "a", "version": 1, "slots": 6, "state": "ready", "sequence": 0,
+	})
+	assert.NilError(t, err)
+	item := func(id string, revision uint64) platform.Item {
+		return platform.Item{Key: platform.RunnersPrefix + id, Value: entry, Revision: fleet.NewRevision(0, revision)}
+	}
+	removed := relay.Item{Key: platform.RunnersPrefix + "old", Revision: fleet.NewRevision(0, 12), Deleted: true}
+	added := relay.Item{Key: platform.RunnersPrefix + "new", Value: entry, Revision: fleet.NewRevision(0, 13)}
+	tests := []struct {
+		name  string
+		apply func(g *Gateway, now time.Time)
+	}{
+		{"listing", func(g *Gateway, now time.Time) {
+			assert.NilError(t, g.applyStoreListing(now, now, []platform.Item{item("old", 5)}, fleet.NewRevision(0, 11), 0))
+		}},
+		{"events of a watch", func(g *Gateway, now time.Time) {
+			g.applyEvents(now, now, []platform.Item{item("old", 11)}, fleet.NewRevision(0, 11))
+		}},
+		{"whole content from another VM", func(g *Gateway, now time.Time) {
+			g.applyView(now, &relay.View{
+				Revision: fleet.NewRevision(0, 11), Full: true,
+				Items: []relay.Item{{Key: platform.RunnersPrefix + "old", Value: entry, Revision: fleet.NewRevision(0, 5)}},
+			}, 0)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1_000_000, 0)
+			v := &simulatedVM{name: "vm-2"}
+			v.start(now)
+			g := v.gateway
+			assert.NilError(t, g.applyStoreListing(now, now, []platform.Item{item("old", 5)}, fleet.NewRevision(0, 10), 0))
+			g.applyView(now, &relay.View{Revision: fleet.NewRevision(0, 13), Items: []relay.Item{removed, added}}, 0)
+			test.apply(g, now)
+			assert.Assert(t, g.directory.Get("old") == nil)
+			assert.Assert(t, g.directory.Get("new") != nil)
+			view, ok := g.storeLog.Since(now, fleet.NewRevision(0, 10), time.Second)
+			assert.Assert(t, ok)
+			assert.Equal(t, len(view.Items), 2)
+		})
+	}
+}
