Do not let an older configuration replace a newer one that arrives beside it

Cause: a VM applies configurations from two tasks, its own reading of the store and the views of the aggregator. Each compared versions and then stored its own. If two arrived together, the older one could be stored last. The VM then counted as up to date, so the older one stayed in force until the next change.

The comparison and the store are now one step.

--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -353,11 +353,15 @@
 		g.log.Emit(eventlog.ConfigurationUnreadable, item.Revision, err)
 		return
 	}
-	old := g.table.Load()
-	if old != nil && old.Version >= table.Version {
-		return
+	for {
+		old := g.table.Load()
+		if old != nil && old.Version >= table.Version {
+			return
+		}
+		if g.table.CompareAndSwap(old, table) {
+			break
+		}
 	}
-	g.table.Store(table)
 	g.log.Emit(eventlog.ConfigurationApplied, table.Version, item.Revision, table.Size())
 }
 
--- a/transport/gateway/store_test.go
+++ b/transport/gateway/store_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/zinniaroute/zinniaroute/coordination/relay"
 	"github.com/zinniaroute/zinniaroute/platform"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
+	"github.com/zinniaroute/zinniaroute/transport/group"
 )
 
 // While a VM reads the store, another one may forward what has changed since.
@@ -57,3 +60,33 @@
 		})
 	}
 }
+
+func TestOlderConfigurationReplacesANewerOneThatArrivesBesideIt(t *testing.T) {
+	const pairs = 200_000
+	v := &simulatedVM{name: "vm-1"}
+	v.start(time.Unix(1_000_000, 0))
+	g := v.gateway
+	tasks, err := group.New(t.Context())
+	assert.NilError(t, err)
+	items := make(chan platform.Item)
+	applied := make(chan struct{})
+	for range 2 {
+		tasks.Run("apply", func(context.Context) {
+			for item := range items {
+				g.applyConfiguration(item)
+				applied <- struct{}{}
+			}
+		})
+	}
+	for i := range pairs {
+		versions := []int{2*i + 1, 2*i + 2}
+		for _, version := range versions {
+			items <- platform.Item{Key: platform.ConfigurationKey, Value: fmt.Appendf(nil, `{"version": %d}`, version)}
+		}
+		<-applied
+		<-applied
+		assert.Equal(t, g.table.Load().Version, uint64(versions[1]))
+	}
+	close(items)
+	assert.NilError(t, tasks.Stop())
+}
