--- a/integration/gateway_part_test.go
+++ b/integration/gateway_part_test.go
@@ -14,6 +14,7 @@
 )
 
 const (
+	firstPart    = "f1"
 	crashingPart = "bad"
 	// crashesUntilKnown is the number of crashes after which, and learningTime later, requests with a part must no longer
 	// reach runners.
@@ -38,11 +39,11 @@
 	return all, late
 }
 
-// sendPrompt sends a request to a model that is like no other, and returns the status.
-func (d *deployment) sendPrompt(ctx context.Context, gateway, part string, number int) int {
+// sendPrompt sends a request to a model that shares its first two parts only, and returns the status.
+func (d *deployment) sendPrompt(ctx context.Context, gateway, first, part string, number int) int {
 	request, err := caller.NewRequest(ctx, d.gateways[gateway].callers, caller.Request{
 		Attempt: fmt.Sprintf("%s-%d", part, number), Host: testHost, Path: modelPath, Model: "large",
-		Prompt: fmt.Sprintf("f1:50,%s:50,%x:20", part, number), Body: fmt.Appendf(nil, "%s %d", part, number),
+		Prompt: fmt.Sprintf("%s:50,%s:50,%x:20", first, part, number), Body: fmt.Appendf(nil, "%s %d", part, number),
 	})
 	assert.NilError(d.t, err)
 	response, err := testClient.Do(request)
@@ -77,7 +78,7 @@
 	sent := 0
 	refused := func(name string) bool {
 		sent++
-		return d.sendPrompt(t.Context(), name, crashingPart, sent) == 503
+		return d.sendPrompt(t.Context(), name, firstPart, crashingPart, sent) == 503
 	}
 	waitUntil(t, "every gateway refuses requests with the part", func() bool {
 		group.Sleep(t.Context(), 200*time.Millisecond)
@@ -105,12 +106,12 @@
 	defer stop()
 	d.group.Run("sound requests", func(context.Context) {
 		for i := 0; ctx.Err() == nil; i++ {
-			d.sendPrompt(ctx, names[i%len(names)], fmt.Sprint("c", i%7), i)
+			d.sendPrompt(ctx, names[i%len(names)], firstPart, fmt.Sprint("c", i%7), i)
 			group.Sleep(ctx, 50*time.Millisecond)
 		}
 	})
 	for i := range 50 {
-		d.sendPrompt(ctx, names[i%len(names)], crashingPart, i)
+		d.sendPrompt(ctx, names[i%len(names)], firstPart, crashingPart, i)
 		group.Sleep(ctx, 200*time.Millisecond)
 	}
 	_, late := d.partRuns()
@@ -118,7 +119,7 @@
 	assert.Check(t, late <= maxLateRetries, "%d crashes, %d late requests", len(d.crashes()), late)
 	served := 0
 	for i := range 20 {
-		if d.sendPrompt(ctx, names[i%len(names)], fmt.Sprint("d", i%7), i) == 200 {
+		if d.sendPrompt(ctx, names[i%len(names)], firstPart, fmt.Sprint("d", i%7), i) == 200 {
 			served++
 		}
 	}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -37,6 +38,10 @@
 	random  *rand.Rand
 	version int
 
+	// sendsPart reports that requests with a part that crashes runners are sent, and parts counts them.
+	sendsPart bool
+	parts     atomic.Int64
+
 	mu sync.Mutex
 	// copies holds copies of the store, the latest last, from which it may return.
 	copies     []metadata.Copy
@@ -65,6 +70,9 @@
 		Body: crashingBody, After: time.Duration(s.random.IntN(2500)) * time.Millisecond, Silent: s.random.IntN(3) == 0,
 		NewID: s.random.IntN(2) == 0,
 	}
+	if s.sendsPart = rand.New(rand.NewPCG(seed, 2<<32)).IntN(2) == 0; s.sendsPart {
+		crash.Part = crashingPart
+	}
 	for _, id := range []string{"r1", "r2", "r3"} {
 		s.addRunner(id, modelService, "large", "small").SetCrash(crash)
 	}
@@ -82,6 +90,9 @@
 		callers.Go(func() { s.sendRequests(ctx, vms[i%len(vms)], rand.New(rand.NewPCG(seed, uint64(i+1)))) })
 	}
 	callers.Go(func() { s.sendCrashingRequests(ctx, vms, rand.New(rand.NewPCG(seed, 0))) })
+	if s.sendsPart {
+		callers.Go(func() { s.sendCrashingParts(ctx, vms, rand.New(rand.NewPCG(seed, 3<<32))) })
+	}
 	returns := rand.New(rand.NewPCG(seed, 1<<32))
 	for until := time.Now().Add(*soakDuration); time.Now().Before(until); {
 		s.copies = append(s.copies, s.store.Copy())
@@ -122,26 +133,47 @@
 	}
 }
 
-// checkQuarantine checks that the request that crashes runners reaches few more when all faults have ended.
+// sendCrashingParts sends requests with a part of a prompt that crashes runners until the context ends. They share their
+// first part with sound requests.
+func (s *soak) sendCrashingParts(ctx context.Context, vms []string, random *rand.Rand) {
+	for ctx.Err() == nil {
+		s.sendCrashingPart(vms[random.IntN(len(vms))])
+		group.Sleep(ctx, time.Duration(200+random.IntN(1500))*time.Millisecond)
+	}
+}
+
+func (s *soak) sendCrashingPart(vm string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	s.sendPrompt(ctx, vm, "a1", crashingPart, int(s.parts.Add(1)))
+}
+
+// checkQuarantine checks that what crashes runners reaches few more when all faults have ended.
 func (s *soak) checkQuarantine(vms []string) {
-	reached := func() (count int) {
+	reached := func() (requests, parts int) {
 		for _, runner := range s.runners {
 			for _, run := range runner.Runs() {
 				if run.Body == crashingBody {
-					count++
+					requests++
 				}
 			}
 		}
-		return count
+		parts, _ = s.partRuns()
+		return requests, parts
 	}
 	group.Sleep(context.Background(), learningTime)
-	before := reached()
+	requests, parts := reached()
 	for i := range 4 * len(vms) {
 		s.sendCrashingRequest(vms[i%len(vms)])
+		if s.sendsPart {
+			s.sendCrashingPart(vms[i%len(vms)])
+		}
 		group.Sleep(context.Background(), 300*time.Millisecond)
 	}
-	late := reached() - before
-	assert.Check(s.t, late <= maxLateRetries, "the request that crashes runners reached %d, and %d after the faults", before, late)
+	allRequests, allParts := reached()
+	late, lateParts := allRequests-requests, allParts-parts
+	assert.Check(s.t, late <= maxLateRetries, "the request that crashes runners reached %d, and %d after the faults", requests, late)
+	assert.Check(s.t, lateParts <= maxLateRetries, "requests with the part that crashes runners reached %d, and %d after the faults", parts, lateParts)
 }
 
 // injectFault starts a random fault, ends faults, or changes the configuration.
