Drop the crash of a runner that answers again from those that quarantine parts of prompts

Cause: a connection that a cut resets looks like the end of its runner. Requests to a model that few runners hold have few parts, so one of them was on three such connections before any other request with it was answered.

An incarnation that answers a run or a report which was sent half a second after the crash had not ended. Its owner and the VMs that reach it tell the others, as a clearance. TestPartIsQuarantinedThoughTheEndpointsGoOn; what it calls did not exist before.

--- a/state/quarantine/parts.go
+++ b/state/quarantine/parts.go
@@ -19,20 +19,34 @@
 	// commonCauseWindow is the time between crashes of several endpoints within which they count as one. A lost failure
 	// domain, or a link that resets connections, ends many runs at once.
 	commonCauseWindow = 100 * time.Millisecond
+	// aliveMargin is the time from the end of connections to a call that shows that the endpoint had not ended. It covers
+	// differences between the clocks of VMs.
+	aliveMargin = 500 * time.Millisecond
 	// maxOutages bounds the crashes of endpoints that are remembered, and maxRunsPerOutage the runs of each.
 	maxOutages       = 256
 	maxRunsPerOutage = 256
 )
 
-// Clearance records that a request with a part of a prompt began to be answered at a time, and was answered whole. The
-// crashes before that have another cause. A later time replaces an earlier one.
+// Clearance rules out a cause of crashes, or a crash. It records that a request with a part of a prompt began to be
+// answered at a time, and was answered whole: the crashes before that have another cause. Or it records that an
+// incarnation of an endpoint answered a call that was sent at a time: it had not ended before, although connections to it
+// had. A later time replaces an earlier one.
 type Clearance struct {
-	Part uint64    `cbor:"1,keyasint"`
+	Part uint64    `cbor:"1,keyasint,omitempty"`
 	At   time.Time `cbor:"2,keyasint"`
+	// Endpoint is empty in the clearance of a part.
+	Endpoint    string `cbor:"3,keyasint,omitempty"`
+	Incarnation int64  `cbor:"4,keyasint,omitempty"`
 }
 
-// Key identifies the part.
-func (c Clearance) Key() string { return PartName(c.Part) }
+// Key identifies the part, or the incarnation of the endpoint.
+func (c Clearance) Key() string {
+	if c.Endpoint == "" {
+		return "part/" + PartName(c.Part)
+	}
+	const base = 10
+	return "endpoint/" + c.Endpoint + "/" + strconv.FormatInt(c.Incarnation, base)
+}
 
 // Version is the time in milliseconds.
 func (c Clearance) Version() uint64 { return uint64(max(0, c.At.UnixMilli())) }
@@ -68,13 +82,26 @@
 	// the same times for those parts that have crashes on record, for all VMs.
 	completed recentSet
 	cleared   map[uint64]time.Time
+	// answeredAt holds when the last answered call to an incarnation of an endpoint was sent.
+	answeredAt map[incarnation]time.Time
 	// quarantined is decided anew when crashes or clearances change.
 	quarantined map[uint64]PartSuspicion
 }
 
+// incarnation is one start of an endpoint.
+type incarnation struct {
+	endpoint string
+	start    int64
+}
+
+func (o *outage) incarnation() incarnation { return incarnation{o.runs[0].Endpoint, o.runs[0].Incarnation} }
+
 // NewPartTracker returns a tracker without crashes.
 func NewPartTracker() *PartTracker {
-	return &PartTracker{completed: newRecentSet(maxCompleted), cleared: make(map[uint64]time.Time)}
+	return &PartTracker{
+		completed: newRecentSet(maxCompleted), cleared: make(map[uint64]time.Time),
+		answeredAt: make(map[incarnation]time.Time),
+	}
 }
 
 // RecordCrashes records crashes, also those that other VMs observed. It returns the parts that are quarantined because of
@@ -83,7 +110,15 @@
 	changed := false
 	var clearances []Clearance
 	for _, c := range crashes {
-		if len(c.Parts) == 0 || expired(now, c) || !t.put(now, c) {
+		if len(c.Parts) == 0 || expired(now, c) {
+			continue
+		}
+		i := incarnation{c.Endpoint, c.Incarnation}
+		if at := t.answeredAt[i]; at.Sub(c.EndedAt) >= aliveMargin {
+			clearances = append(clearances, Clearance{Endpoint: i.endpoint, Incarnation: i.start, At: at})
+			continue
+		}
+		if !t.put(now, c) {
 			continue
 		}
 		changed = true
@@ -94,7 +129,7 @@
 		}
 	}
 	if !changed {
-		return nil, nil
+		return nil, clearances
 	}
 	return t.decide(), clearances
 }
@@ -140,6 +175,25 @@
 	return clearances
 }
 
+// RecordAnswered records that an incarnation of an endpoint answered a call that was sent at a time. It returns the
+// clearance that other VMs need. Incarnations that are not told apart, zero, show nothing.
+func (t *PartTracker) RecordAnswered(endpoint string, start int64, sentAt time.Time) []Clearance {
+	i := incarnation{endpoint, start}
+	if start == 0 || !sentAt.After(t.answeredAt[i]) {
+		return nil
+	}
+	t.answeredAt[i] = sentAt
+	before := len(t.outages)
+	t.outages = slices.DeleteFunc(t.outages, func(o *outage) bool {
+		return o.incarnation() == i && sentAt.Sub(o.at) >= aliveMargin
+	})
+	if len(t.outages) == before {
+		return nil
+	}
+	t.decide()
+	return []Clearance{{Endpoint: endpoint, Incarnation: start, At: sentAt}}
+}
+
 // clear records the time of a clearance, and returns it if it clears a crash.
 func (t *PartTracker) clear(part uint64, at time.Time) []Clearance {
 	before := t.cleared[part]
@@ -156,6 +210,10 @@
 func (t *PartTracker) Merge(clearances []Clearance) {
 	changed := false
 	for _, c := range clearances {
+		if c.Endpoint != "" {
+			t.RecordAnswered(c.Endpoint, c.Incarnation, c.At)
+			continue
+		}
 		if c.At.After(t.cleared[c.Part]) {
 			t.cleared[c.Part] = c.At
 			changed = true
@@ -311,6 +369,7 @@
 // Expire removes the crashes whose time has passed.
 func (t *PartTracker) Expire(now time.Time) {
 	before := len(t.outages)
+	maps.DeleteFunc(t.answeredAt, func(_ incarnation, at time.Time) bool { return now.Sub(at) >= SuspicionTTL })
 	t.outages = slices.DeleteFunc(t.outages, func(o *outage) bool { return now.Sub(o.at) >= SuspicionTTL })
 	if len(t.outages) == before {
 		return
--- a/state/quarantine/parts_test.go
+++ b/state/quarantine/parts_test.go
@@ -102,13 +102,13 @@
 		{
 			"a request with the part was answered between",
 			[]endedRun{{"a", 0, chain}, {"b", s, chain}, {"c", 2 * s, chain}},
-			[]Clearance{{middle, start.Add(500 * time.Millisecond)}},
+			[]Clearance{{Part: middle, At: start.Add(500 * time.Millisecond)}},
 			nil,
 		},
 		{
 			"a request with the part was answered before",
 			[]endedRun{{"a", 0, chain}, {"b", s, chain}, {"c", 2 * s, chain}},
-			[]Clearance{{middle, start.Add(-time.Millisecond)}},
+			[]Clearance{{Part: middle, At: start.Add(-time.Millisecond)}},
 			[]uint64{middle},
 		},
 	}
@@ -146,9 +146,9 @@
 	run := endedRun{"a", 0, []uint64{1, 2}}
 	tracker.RecordCompleted([]uint64{1}, start.Add(time.Second))
 	_, clearances := tracker.RecordCrashes(start.Add(2*time.Second), []Crash{run.crash(1)})
-	assert.DeepEqual(t, clearances, []Clearance{{1, start.Add(time.Second)}})
+	assert.DeepEqual(t, clearances, []Clearance{{Part: 1, At: start.Add(time.Second)}})
 	assert.DeepEqual(t, tracker.RecordCompleted([]uint64{2}, start.Add(-time.Second)), []Clearance(nil))
-	assert.DeepEqual(t, tracker.RecordCompleted([]uint64{2}, start.Add(time.Second)), []Clearance{{2, start.Add(time.Second)}})
+	assert.DeepEqual(t, tracker.RecordCompleted([]uint64{2}, start.Add(time.Second)), []Clearance{{Part: 2, At: start.Add(time.Second)}})
 	assert.DeepEqual(t, tracker.RecordCompleted([]uint64{2}, start.Add(2*time.Second)), []Clearance(nil))
 }
 
@@ -161,3 +161,40 @@
 	assert.DeepEqual(t, run.Crash(start.Add(1100*time.Millisecond)).Parts, []uint64{1, 2})
 	assert.DeepEqual(t, run.Crash(start.Add(2*time.Second)).Parts, []uint64(nil))
 }
+
+// A cut or a reset ends connections to endpoints that go on.
+func TestPartIsQuarantinedThoughTheEndpointsGoOn(t *testing.T) {
+	tests := []struct {
+		name        string
+		incarnation int64
+		answeredAt  time.Duration
+		want        int
+	}{
+		{"answered before", 7, -time.Second, 1},
+		{"answered just after", 7, 100 * time.Millisecond, 1},
+		{"answered later", 7, 10 * time.Second, 0},
+		{"answered by the next incarnation", 8, 10 * time.Second, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			observer, owner, late := NewPartTracker(), NewPartTracker(), NewPartTracker()
+			var crashes []Crash
+			for i, endpoint := range []string{"a", "b", "c"} {
+				crash := endedRun{endpoint, time.Duration(i) * time.Second, []uint64{1, 2}}.crash(i)
+				crash.Incarnation = 7
+				crashes = append(crashes, crash)
+			}
+			observer.RecordCrashes(start.Add(2*time.Second), crashes)
+			owner.RecordCrashes(start.Add(3*time.Second), crashes)
+			clearances := owner.RecordAnswered("c", test.incarnation, crashes[2].EndedAt.Add(test.answeredAt))
+			observer.Merge(clearances)
+			assert.Equal(t, len(owner.Quarantined()), test.want)
+			assert.Equal(t, len(observer.Quarantined()), test.want)
+
+			late.RecordAnswered("c", test.incarnation, crashes[2].EndedAt.Add(test.answeredAt))
+			_, clearances = late.RecordCrashes(start.Add(12*time.Second), crashes)
+			assert.Equal(t, len(clearances), 1-test.want)
+			assert.Equal(t, len(late.Quarantined()), test.want)
+		})
+	}
+}
--- a/transport/gateway/orders.go
+++ b/transport/gateway/orders.go
@@ -157,6 +157,7 @@
 }
 
 func (g *Gateway) readReport(ctx context.Context, id string, address netip.AddrPort, o *ownedRunner) {
+	sentAt := clock.Now()
 	report, err := g.runnerClient.Report(ctx, id, address)
 	now := clock.Now()
 	if err != nil {
@@ -165,6 +166,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.recordAnswered(now, id, report.Incarnation, sentAt)
 	if o.ledger.ApplyReport(report) {
 		g.log.Emit(eventlog.RunnerReportApplied, id, report.Sequence, report.Holdings.Busy, len(report.Holdings.Models))
 		g.publishHoldings(now, id, o)
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -127,6 +127,7 @@
 		return
 	}
 	g.putClearances(now, g.crashes.parts.RecordCompleted(x.run.Origin.Parts, x.run.AnsweredAt()))
+	g.recordAnswered(now, x.choice.Runner.ID, x.choice.Runner.Incarnation, x.run.SentAt())
 	fingerprint := quarantine.Fingerprint(x.request.Fingerprint)
 	cleared := g.crashes.tracker.RecordCompleted(now, fingerprint, x.choice.Runner.ID, x.run.SentAt())
 	if len(cleared) == 0 {
@@ -186,6 +187,12 @@
 	}
 }
 
+// recordAnswered records that an incarnation of a runner answered a call that was sent at a time. The caller must hold the
+// lock.
+func (g *Gateway) recordAnswered(now time.Time, runner string, incarnation int64, sentAt time.Time) {
+	g.putClearances(now, g.crashes.parts.RecordAnswered(runner, incarnation, sentAt))
+}
+
 // putClearances adds clearances to those that VMs exchange. The caller must hold the lock.
 func (g *Gateway) putClearances(now time.Time, clearances []quarantine.Clearance) {
 	for _, c := range clearances {
