--- a/state/quarantine/parts.go
+++ b/state/quarantine/parts.go
@@ -9,16 +9,6 @@
 )
 
 const (
-	// minPartCrashes is the number of crashes from which requests with a part of a prompt are refused.
-	minPartCrashes = 3
-	// minFirstPartCrashes and minFirstPartTime, the time from the first to the last crash, apply to the first part of
-	// prompts. Many requests share it, so most crashes of any cause end a run with it, and refusing it refuses all of them.
-	// If another request with it is answered within that time, it is cleared.
-	minFirstPartCrashes = 5
-	minFirstPartTime    = 2 * time.Second
-	// commonCauseWindow is the time between crashes of several endpoints within which they count as one. A lost failure
-	// domain, or a link that resets connections, ends many runs at once.
-	commonCauseWindow = 100 * time.Millisecond
 	// aliveMargin is the time from the end of connections to a call that shows that the endpoint had not ended. It covers
 	// differences between the clocks of VMs.
 	aliveMargin = 500 * time.Millisecond
@@ -27,30 +17,6 @@
 	maxRunsPerOutage = 256
 )
 
-// Clearance rules out a cause of crashes, or a crash. It records that a request with a part of a prompt began to be
-// answered at a time, and was answered whole: the crashes before that have another cause. Or it records that an
-// incarnation of an endpoint answered a call that was sent at a time: it had not ended before, although connections to it
-// had. A later time replaces an earlier one.
-type Clearance struct {
-	Part uint64    `cbor:"1,keyasint,omitempty"`
-	At   time.Time `cbor:"2,keyasint"`
-	// Endpoint is empty in the clearance of a part.
-	Endpoint    string `cbor:"3,keyasint,omitempty"`
-	Incarnation int64  `cbor:"4,keyasint,omitempty"`
-}
-
-// Key identifies the part, or the incarnation of the endpoint.
-func (c Clearance) Key() string {
-	if c.Endpoint == "" {
-		return "part/" + PartName(c.Part)
-	}
-	const base = 10
-	return "endpoint/" + c.Endpoint + "/" + strconv.FormatInt(c.Incarnation, base)
-}
-
-// Version is the time in milliseconds.
-func (c Clearance) Version() uint64 { return uint64(max(0, c.At.UnixMilli())) }
-
 // PartName returns a part of a prompt in hexadecimal, as callers name it.
 func PartName(part uint64) string {
 	const base = 16
@@ -94,7 +60,9 @@
 	start    int64
 }
 
-func (o *outage) incarnation() incarnation { return incarnation{o.runs[0].Endpoint, o.runs[0].Incarnation} }
+func (o *outage) incarnation() incarnation {
+	return incarnation{o.runs[0].Endpoint, o.runs[0].Incarnation}
+}
 
 // NewPartTracker returns a tracker without crashes.
 func NewPartTracker() *PartTracker {
@@ -234,108 +202,6 @@
 	return -1
 }
 
-// decide finds the quarantined parts and returns those that were not before. A crash has one cause: crashes that a
-// quarantined part explains do not count for others.
-func (t *PartTracker) decide() []PartSuspicion {
-	unexplained := slices.Clone(t.outages)
-	slices.SortFunc(unexplained, func(a, b *outage) int { return a.at.Compare(b.at) })
-	quarantined := make(map[uint64]PartSuspicion)
-	for {
-		likely := t.likeliest(unexplained)
-		if len(likely) == 0 {
-			break
-		}
-		for _, s := range likely {
-			quarantined[s.Part] = s
-		}
-		unexplained = slices.DeleteFunc(unexplained, func(o *outage) bool {
-			return slices.ContainsFunc(likely, func(s PartSuspicion) bool { return t.suspects(o, s.Part) })
-		})
-	}
-	var added []PartSuspicion
-	for part, s := range quarantined {
-		if _, known := t.quarantined[part]; !known {
-			added = append(added, s)
-		}
-	}
-	t.quarantined = quarantined
-	return added
-}
-
-// suspects reports whether a part may have caused an outage.
-func (t *PartTracker) suspects(o *outage, part uint64) bool {
-	return o.at.After(t.cleared[part]) && o.depth(part) >= 0
-}
-
-// likeliest returns the part with the most crashes, if they suffice. Of several it takes the one that is deepest in
-// prompts, since fewer requests share it. It returns none while several parts are equally likely, and all of them once
-// the crashes suffice for a first part.
-func (t *PartTracker) likeliest(outages []*outage) []PartSuspicion {
-	type candidate struct {
-		PartSuspicion
-		depth        int
-		firstCrashAt time.Time
-	}
-	candidates := make(map[uint64]*candidate)
-	for _, o := range outages {
-		for _, part := range o.parts() {
-			if !t.suspects(o, part) {
-				continue
-			}
-			c := candidates[part]
-			if c == nil {
-				c = &candidate{PartSuspicion: PartSuspicion{Part: part}, depth: o.depth(part), firstCrashAt: o.at}
-				candidates[part] = c
-			}
-			if c.Crashes == 0 || o.at.Sub(c.LastCrashAt) >= commonCauseWindow {
-				c.Crashes++
-			}
-			c.LastCrashAt = o.at
-			c.Endpoints = append(c.Endpoints, o.runs[0].Endpoint)
-		}
-	}
-	var likely []*candidate
-	for _, c := range candidates {
-		enough := c.Crashes >= minPartCrashes
-		if c.depth == 0 {
-			enough = c.Crashes >= minFirstPartCrashes && c.LastCrashAt.Sub(c.firstCrashAt) >= minFirstPartTime
-		}
-		if enough {
-			likely = append(likely, c)
-		}
-	}
-	if len(likely) == 0 {
-		return nil
-	}
-	// A first part is the cause only if no other one is.
-	slices.SortFunc(likely, func(a, b *candidate) int {
-		return cmp.Or(
-			cmp.Compare(min(b.depth, 1), min(a.depth, 1)), cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(b.depth, a.depth),
-		)
-	})
-	best := likely[0]
-	var tied []PartSuspicion
-	for _, c := range likely {
-		if c.Crashes == best.Crashes && c.depth == best.depth {
-			tied = append(tied, c.PartSuspicion)
-		}
-	}
-	if len(tied) > 1 && best.Crashes < minFirstPartCrashes {
-		return nil
-	}
-	return tied
-}
-
-// parts returns the parts of the runs that an outage ended, each once.
-func (o *outage) parts() []uint64 {
-	var parts []uint64
-	for _, r := range o.runs {
-		parts = append(parts, r.Parts...)
-	}
-	slices.Sort(parts)
-	return slices.Compact(parts)
-}
-
 // RetryAfter returns the time until requests with the parts are no longer refused and the part that is quarantined, or
 // zero when none is.
 func (t *PartTracker) RetryAfter(now time.Time, parts []uint64) (wait time.Duration, part uint64) {
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -129,9 +129,9 @@
 		grace = entryReturnGrace
 	}
 	g.graceUntil = now.Add(grace)
-	isKnown := revision < g.knownRevision
+	known := g.knownRevision
 	g.mu.Unlock()
-	if isKnown {
+	if revision < known {
 		return nil
 	}
 	present := make(map[string]bool, len(items))
