--- a/state/quarantine/parts_property_test.go
+++ b/state/quarantine/parts_property_test.go
@@ -43,11 +43,11 @@
 }
 
 type simulatedRun struct {
-	vm, runner               int
-	parts                    []uint64
-	sentAt, beginAt, endAt   time.Time
-	crashesAt                time.Time
-	fingerprint, incarnation int
+	vm, runner             int
+	parts                  []uint64
+	sentAt, beginAt, endAt time.Time
+	crashesAt              time.Time
+	fingerprint            int
 }
 
 type simulatedMessage struct {
