Make room for new crashes of a request that has many cleared ones

Cause: a VM keeps 32 crashes of a request. Since completions no longer drop new crashes, requests that many callers send alike fill them with cleared ones. vm-2 then took in no more crashes, so what it completed could not clear those of vm-1.

TestPeerWithManyClearedCrashesClearsNoMore failed before. Cleared crashes now give way.

--- a/state/quarantine/tracker.go
+++ b/state/quarantine/tracker.go
@@ -212,7 +212,12 @@
 		return true
 	}
 	if len(known) >= maxRecordsPerRequest {
-		return false
+		// A request that many callers send has many cleared crashes.
+		i := slices.IndexFunc(known, func(k Crash) bool { return k.Cleared })
+		if i < 0 {
+			return false
+		}
+		known = slices.Delete(known, i, i+1)
 	}
 	known = append(known, c)
 	slices.SortStableFunc(known, func(a, b Crash) int {
--- a/state/quarantine/tracker_test.go
+++ b/state/quarantine/tracker_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -204,6 +205,20 @@
 	}
 }
 
+// Requests that many callers send alike are beside many crashes.
+func TestPeerWithManyClearedCrashesClearsNoMore(t *testing.T) {
+	peer := NewTracker()
+	for i := range 2 * maxRecordsPerRequest {
+		observer := NewTracker()
+		at := start.Add(time.Duration(i) * time.Second)
+		observer.RecordCrash(at, crash(7, fmt.Sprint("r", i), at, true))
+		peer.Merge(at, observer.Unreported())
+		sentAt := at.Add(100 * time.Millisecond)
+		observer.Merge(sentAt, peer.RecordCompleted(sentAt, 7, "z", sentAt))
+		assert.Assert(t, !observer.IsSuspect(sentAt, 7), "crash %d", i)
+	}
+}
+
 func TestQuarantineClearsSuspicionsItExplains(t *testing.T) {
 	tracker := NewTracker()
 	tracker.RecordCrash(start, crash(8, "a", start, true))
