Try a quarantined request again that endpoints had completed before

Callers that send the same content as a request that crashes runners may be refused with it for ten minutes: while all VMs refuse them, none can be completed, and only a completion clears them.

The VM that observed the latest crash sends one such request five seconds after it, at most twice. With two more crashes it stays refused, within the three retries that the rule allows. TestRequestThatOthersHadCompletedStaysQuarantined; what it calls did not exist before.

--- a/state/quarantine/tracker.go
+++ b/state/quarantine/tracker.go
@@ -25,6 +25,10 @@
 	// completed the request within SuspicionTTL. Several callers may send such a request alike, and a completion of it
 	// that begins within this time shows that another request caused the crashes.
 	completedGrace = 1500 * time.Millisecond
+	// trialInterval is the time from the latest crash until a quarantined request that endpoints had completed before is
+	// tried once, and maxTrialCrashes the number of crashes from which it no longer is.
+	trialInterval   = 5 * time.Second
+	maxTrialCrashes = 5
 	// SuspicionTTL is the time after the latest crash at which its record expires and a quarantined request is allowed
 	// again.
 	SuspicionTTL = 10 * time.Minute
@@ -57,6 +61,8 @@
 	unreported map[string]Crash
 	// completed holds when the last completed runs of requests were sent.
 	completed recentSet
+	// observedAt holds the time of the latest crash of a request that this VM observed, and triedAt that of its last trial.
+	observedAt, triedAt map[Fingerprint]time.Time
 }
 
 // NewTracker returns a tracker without crashes.
@@ -66,6 +72,8 @@
 		probation:  make(map[string]Fingerprint),
 		unreported: make(map[string]Crash),
 		completed:  newRecentSet(maxCompleted),
+		observedAt: make(map[Fingerprint]time.Time),
+		triedAt:    make(map[Fingerprint]time.Time),
 	}
 }
 
@@ -78,6 +86,21 @@
 	return s.LastCrashAt.Add(SuspicionTTL).Sub(now)
 }
 
+// Admit returns the time until the quarantine of a request ends, or zero when the request may run. Trial reports that a
+// quarantined request runs once, to find out whether another one caused its crashes: endpoints had completed the request
+// before, for this VM, and this VM observed the latest crash, so that no other VM tries it too.
+func (t *Tracker) Admit(now time.Time, f Fingerprint) (wait time.Duration, trial bool) {
+	wait = t.RetryAfter(now, f)
+	s := t.Suspicion(now, f)
+	_, completed := t.completed.get(now, f)
+	if wait <= 0 || !completed || len(s.Endpoints) >= maxTrialCrashes || !t.observedAt[f].Equal(s.LastCrashAt) ||
+		now.Sub(s.LastCrashAt) < trialInterval || now.Sub(t.triedAt[f]) < trialInterval {
+		return max(0, wait), false
+	}
+	t.triedAt[f] = now
+	return 0, true
+}
+
 // Suspicion sums up the crashes of a request that are neither expired nor cleared, each counted once.
 func (t *Tracker) Suspicion(now time.Time, f Fingerprint) Suspicion {
 	s := Suspicion{Fingerprint: f}
@@ -190,6 +213,7 @@
 	completedAt, completed := t.completed.get(now, c.Fingerprint)
 	if (!completed || c.EndedAt.After(completedAt)) && t.put(now, c) {
 		t.unreported[c.Key()] = c
+		t.observedAt[c.Fingerprint] = c.EndedAt
 	}
 	return t.Suspicion(now, c.Fingerprint)
 }
@@ -279,6 +303,8 @@
 		t.crashes[f] = crashes
 		if len(crashes) == 0 {
 			delete(t.crashes, f)
+			delete(t.observedAt, f)
+			delete(t.triedAt, f)
 		}
 	}
 	for key, c := range t.unreported {
--- a/state/quarantine/tracker_test.go
+++ b/state/quarantine/tracker_test.go
@@ -205,6 +205,50 @@
 	}
 }
 
+// No request with the same content runs during its quarantine, so none could be completed.
+func TestRequestThatOthersHadCompletedStaysQuarantined(t *testing.T) {
+	tests := []struct {
+		name      string
+		completed bool
+		trials    int
+	}{
+		{"completed before", true, 2},
+		{"never completed", false, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			observer, peer := NewTracker(), NewTracker()
+			if test.completed {
+				observer.RecordCompleted(start, 7, "z", start)
+				peer.RecordCompleted(start, 7, "z", start)
+			}
+			crashes, trials := 0, 0
+			crashAt := func(now time.Time) {
+				crashes++
+				observer.RecordCrash(now, crash(7, fmt.Sprint("r", crashes), now, true))
+				peer.Merge(now, observer.Unreported())
+			}
+			now := start.Add(10 * time.Second)
+			for range 3 {
+				now = now.Add(time.Second)
+				crashAt(now)
+			}
+			for range 600 {
+				now = now.Add(100 * time.Millisecond)
+				_, trial := peer.Admit(now, 7)
+				assert.Assert(t, !trial, "only the VM that observed the latest crash tries the request")
+				if _, trial = observer.Admit(now, 7); trial {
+					trials++
+					wait, second := observer.Admit(now, 7)
+					assert.Assert(t, wait > 0 && !second)
+					crashAt(now)
+				}
+			}
+			assert.Equal(t, trials, test.trials)
+		})
+	}
+}
+
 // Requests that many callers send alike are beside many crashes.
 func TestPeerWithManyClearedCrashesClearsNoMore(t *testing.T) {
 	peer := NewTracker()
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -45,7 +45,9 @@
 	choice   dispatch.Choice
 	inFlight *dispatch.InFlight
 	run      *quarantine.Run
-	call     *httpcall.Exchange
+	// trial means that the request runs although it is quarantined.
+	trial bool
+	call  *httpcall.Exchange
 	// body is the body of an answer that is relayed whole.
 	body   []byte
 	relay  *eventRelay
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -58,7 +58,10 @@
 func (g *Gateway) quarantineRefusal(now time.Time, x *exchange) *lifecycle.NoEndpoint {
 	fingerprint := quarantine.Fingerprint(x.request.Fingerprint)
 	g.mu.Lock()
-	retryAfter := g.crashes.tracker.RetryAfter(now, fingerprint)
+	var retryAfter time.Duration
+	if !x.trial {
+		retryAfter, x.trial = g.crashes.tracker.Admit(now, fingerprint)
+	}
 	partRetryAfter, part := g.crashes.parts.RetryAfter(now, x.request.SharedParts())
 	g.mu.Unlock()
 	switch {
