--- a/state/quarantine/doc.go
+++ b/state/quarantine/doc.go
@@ -1,2 +1,2 @@
-// Package quarantine identifies requests that crash the endpoints that run them, and refuses them.
+// Package quarantine finds requests, and parts of prompts, that crash the endpoints that run them.
 package quarantine
