--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -56,7 +56,7 @@
 	// it had sent by the answer before. Number 9 is not used again.
 	Crashes         []quarantine.Crash `cbor:"10,keyasint,omitempty"`
 	ReceivedCrashes uint64             `cbor:"11,keyasint,omitempty"`
-	// Clearances and ReceivedClearances are the same for the clearances of prompt parts.
+	// Clearances and ReceivedClearances are the same for clearances.
 	Clearances         []quarantine.Clearance `cbor:"13,keyasint,omitempty"`
 	ReceivedClearances uint64                 `cbor:"14,keyasint,omitempty"`
 	// PackedViews reports that the VM reads views with compressed values.
@@ -85,7 +85,7 @@
 	// Number 10 is not used again.
 	Crashes     []quarantine.Crash `cbor:"11,keyasint,omitempty"`
 	SentCrashes uint64             `cbor:"12,keyasint,omitempty"`
-	// Clearances and SentClearances are the same for the clearances of prompt parts.
+	// Clearances and SentClearances are the same for clearances.
 	Clearances     []quarantine.Clearance `cbor:"13,keyasint,omitempty"`
 	SentClearances uint64                 `cbor:"14,keyasint,omitempty"`
 }
--- a/state/quarantine/parts.go
+++ b/state/quarantine/parts.go
@@ -44,8 +44,8 @@
 // for concurrent use.
 type PartTracker struct {
 	outages []*outage
-	// completed holds when requests with a part that were answered whole began to be answered, for this VM. Cleared holds
-	// the same times for those parts that have crashes on record, for all VMs.
+	// completed holds when the last answer to a request with a part began that arrived whole here. Cleared holds the same
+	// for all VMs, for the parts that have crashes on record.
 	completed recentSet
 	cleared   map[uint64]time.Time
 	// answeredAt holds when the last answered call to an incarnation of an endpoint was sent.
@@ -73,7 +73,7 @@
 }
 
 // RecordCrashes records crashes, also those that other VMs observed. It returns the parts that are quarantined because of
-// them, and the clearances of parts with which requests have been answered for this VM since.
+// them, and the clearances from what this VM has seen answered since.
 func (t *PartTracker) RecordCrashes(now time.Time, crashes []Crash) ([]PartSuspicion, []Clearance) {
 	changed := false
 	var clearances []Clearance
--- a/state/quarantine/tracker.go
+++ b/state/quarantine/tracker.go
@@ -87,20 +87,27 @@
 }
 
 // Admit returns the time until the quarantine of a request ends, or zero when the request may run. Trial reports that a
-// quarantined request runs once, to find out whether another one caused its crashes: endpoints had completed the request
-// before, for this VM, and this VM observed the latest crash, so that no other VM tries it too.
+// quarantined request runs once, to find out whether another one caused its crashes.
 func (t *Tracker) Admit(now time.Time, f Fingerprint) (wait time.Duration, trial bool) {
 	wait = t.RetryAfter(now, f)
-	s := t.Suspicion(now, f)
-	_, completed := t.completed.get(now, f)
-	if wait <= 0 || !completed || len(s.Endpoints) >= maxTrialCrashes || !t.observedAt[f].Equal(s.LastCrashAt) ||
-		now.Sub(s.LastCrashAt) < trialInterval || now.Sub(t.triedAt[f]) < trialInterval {
+	if wait <= 0 || !t.trialDue(now, f) {
 		return max(0, wait), false
 	}
 	t.triedAt[f] = now
 	return 0, true
 }
 
+// trialDue reports whether a quarantined request is tried now. Endpoints must have completed it before, and only the VM
+// that observed the latest crash tries it.
+func (t *Tracker) trialDue(now time.Time, f Fingerprint) bool {
+	s := t.Suspicion(now, f)
+	_, completed := t.completed.get(now, f)
+	if !completed || len(s.Endpoints) >= maxTrialCrashes || !t.observedAt[f].Equal(s.LastCrashAt) {
+		return false
+	}
+	return now.Sub(s.LastCrashAt) >= trialInterval && now.Sub(t.triedAt[f]) >= trialInterval
+}
+
 // Suspicion sums up the crashes of a request that are neither expired nor cleared, each counted once.
 func (t *Tracker) Suspicion(now time.Time, f Fingerprint) Suspicion {
 	s := Suspicion{Fingerprint: f}
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -45,7 +45,7 @@
 	choice   dispatch.Choice
 	inFlight *dispatch.InFlight
 	run      *quarantine.Run
-	// trial means that the request runs although it is quarantined.
+	// trial means that the request may run although it is quarantined.
 	trial bool
 	call  *httpcall.Exchange
 	// body is the body of an answer that is relayed whole.
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -23,7 +23,7 @@
 type crashState struct {
 	tracker *quarantine.Tracker
 	parts   *quarantine.PartTracker
-	// records holds the same crashes, and clearances the clearances of prompt parts, in the form in which VMs exchange them.
+	// records and clearances hold what the trackers know in the form in which VMs exchange it.
 	records    recordSet[quarantine.Crash]
 	clearances recordSet[quarantine.Clearance]
 	runs       *quarantine.Runs
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -25,7 +25,7 @@
 	errCallerLeft     = errors.New("the caller closed the connection or reads too slowly")
 	errEventTooLong   = errors.New("the stream has more than 1 MiB without a new event")
 	errTruncatedEvent = errors.New("the stream ended within an event")
-	// errBrokenOff reports that the connection, which is the only end of the stream, ended before one could be whole.
+	// errBrokenOff means that a stream without a length or chunks ended before its first event or within an event.
 	errBrokenOff = errors.Wrap(io.ErrUnexpectedEOF, "the connection ended without a whole event")
 )
 
