Log the limits that runners name

Event 519 shows on each VM when an answer changes the limit that it knows for a runner, gatewayLimits counts these changes and the requests to runners that had named one. Nothing is decided by it yet.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -184,6 +184,11 @@
 		[]string{"part", "crashes", "runners", "source"},
 		"Find the callers by the lines of event 512 with the same part.",
 	}
+	LimitChanged = Event{
+		519, logrus.InfoLevel, "a runner's answer changes the known limit of requests a second to it",
+		[]string{"request", "runner", "limit", "before"},
+		"Find out what the runner lacks. Until it names no limit, requests beyond it go to other runners or are refused.",
+	}
 	QuarantineUnreadable = Event{
 		516, logrus.WarnLevel, "stored quarantine could not be read; it is ignored",
 		[]string{"print", "revision", "error"},
@@ -307,7 +312,7 @@
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined,
 		RequestServed, RequestNotServed, LogLinesDropped,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
-		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable,
+		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -143,6 +143,7 @@
 func (x *exchange) handleResponse(ctx context.Context) lifecycle.Event {
 	header := &x.call.Response.Header
 	head := platform.ReadResponseHead(header)
+	x.recordLimit(head)
 	if head.NotRun {
 		return x.handleDecline(ctx, head)
 	}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
+	"github.com/zinniaroute/zinniaroute/state/limits"
 	"github.com/zinniaroute/zinniaroute/state/routes"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 	"github.com/zinniaroute/zinniaroute/transport/group"
@@ -63,6 +64,7 @@
 	mu           sync.Mutex
 	directory    *fleet.Directory
 	scheduler    *dispatch.Scheduler
+	limits       *limits.Registry
 	retryBudgets map[string]*lifecycle.RetryBudget
 	random       *rand.Rand
 	// directoryChanged is closed and replaced at each change of the directory.
@@ -123,6 +125,7 @@
 		store:            platform.NewStore(s.Store),
 		directory:        fleet.NewDirectory(),
 		scheduler:        dispatch.NewScheduler(s.Domain),
+		limits:           limits.NewRegistry(),
 		retryBudgets:     make(map[string]*lifecycle.RetryBudget),
 		random:           rand.New(rand.NewPCG(uint64(now.UnixNano()), 0)),
 		directoryChanged: make(chan struct{}),
--- a/transport/gateway/metrics.go
+++ b/transport/gateway/metrics.go
@@ -29,6 +29,8 @@
 	// crashRecords counts by event: crashes recorded here, records dropped after a complete answer, requests quarantined,
 	// and requests refused because of it.
 	crashRecords = expvar.NewMap("gatewayCrashRecords")
+	// limitRecords counts the changes of limits that runners name, and the requests sent to runners that named one.
+	limitRecords = expvar.NewMap("gatewayLimits")
 )
 
 // histogram is a histogram of durations that is safe for concurrent use.
