--- /dev/null
+++ b/standin/modelrunner/limit.go
@@ -0,0 +1,34 @@
+package modelrunner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+)
+
+const headerLimit = "Server-Limit"
+
+// SetLimit makes the runner name a limit of requests a second in its answers from now on, or none if it is empty.
+func (r *Runner) SetLimit(perSecond string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = perSecond
+}
+
+// Arrivals returns when requests arrived, also those that the runner did not run. Reports and orders do not count.
+func (r *Runner) Arrivals() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.arrivals)
+}
+
+// recordArrival records the arrival of a request and names the limit in its answer.
+func (r *Runner) recordArrival(c *app.RequestContext) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, time.Now())
+	if r.limit != "" {
+		c.Header(headerLimit, r.limit)
+	}
+}
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -109,6 +109,8 @@
 	crashes         []time.Time
 	unsealedAnswers int
 	downUntil       time.Time
+	limit           string
+	arrivals        []time.Time
 	// crashed is closed when the present incarnation crashes.
 	crashed chan struct{}
 }
@@ -338,6 +340,7 @@
 func (r *Runner) run(ctx context.Context, c *app.RequestContext) {
 	// For a path without a handler, the HTTP library presets status 404.
 	c.SetStatusCode(statusOK)
+	r.recordArrival(c)
 	if r.rejectMisdirected(c) {
 		return
 	}
