Share the requests to a runner that names a limit among all VMs

Event 519 shows that each VM was told with its first answer; nothing acted on it.

The VM now needs a permit for each request to a runner that has named a limit. The aggregator grants them, a whole interval apart, so no bursts add up whatever the number of VMs; it halves the rate while it is not first in line or became the aggregator within four seconds, since then a second VM may grant too, which together stays below the one and a half times that the rule tolerates. A permit is granted half a second ahead at most. All VMs learn limits and their ends with the exchange four times a second. An answer ends or raises a limit only if its request was sent after the known one arrived. A runner with a limit of zero gets a request every four seconds, as it could not say otherwise that its need is over.

A request waits for a permit as long as its target latency allows, goes to another runner, or is refused at once with Retry-After from the time of the next permit.

TestRunnerGetsMoreRequestsThanItsLimitFromAllGateways failed before and passes. Random fleets of 3, 9, 30 and 86 VMs with kills, cuts, freezes and changes of the limit keep the rule in 4000 draws, and use a third of the limit or more; with both granters at full rate the test fails at draw 80, with permits granted four seconds ahead at draw 823.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -189,6 +189,11 @@
 		[]string{"request", "runner", "limit", "before"},
 		"Find out what the runner lacks. Until it names no limit, requests beyond it go to other runners or are refused.",
 	}
+	PermitNotAnswered = Event{
+		520, logrus.WarnLevel, "no permit for a request to a runner that has named a limit: the aggregator did not answer",
+		[]string{"request", "runner", "error"},
+		"Check the aggregator and the network to it if it recurs.",
+	}
 	QuarantineUnreadable = Event{
 		516, logrus.WarnLevel, "stored quarantine could not be read; it is ignored",
 		[]string{"print", "revision", "error"},
@@ -312,7 +317,7 @@
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined,
 		RequestServed, RequestNotServed, LogLinesDropped,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
-		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable,
+		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -17,6 +17,8 @@
 	CallExchange = "/zinniaroute.VM/Exchange"
 	// CallRequestAdapter asks the owner of a runner to load an adapter on it.
 	CallRequestAdapter = "/zinniaroute.VM/Need"
+	// CallTakePermit asks the aggregator for a permit to send a request to a runner that has named a limit.
+	CallTakePermit = "/zinniaroute.VM/Permit"
 )
 
 // OwnedRunner is the state of a runner according to its owner.
@@ -39,6 +41,17 @@
 	Age    time.Duration `cbor:"3,keyasint"`
 }
 
+// Limit is the limit that a runner has named in its answers.
+type Limit struct {
+	Runner string `cbor:"1,keyasint"`
+	// PerSecond is the number of requests a second, or infinite if the runner names no limit any more.
+	PerSecond float64 `cbor:"2,keyasint"`
+	// Age is the time since the latest answer with this limit.
+	Age time.Duration `cbor:"3,keyasint"`
+	// Next is the time until the next permit, in answers of the aggregator.
+	Next time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
 // Report is the state that a VM sends to the aggregator.
 type Report struct {
 	VM            string                           `cbor:"1,keyasint"`
@@ -61,6 +74,8 @@
 	ReceivedClearances uint64                 `cbor:"14,keyasint,omitempty"`
 	// PackedViews reports that the VM reads views with compressed values.
 	PackedViews bool `cbor:"12,keyasint,omitempty"`
+	// Limits holds the limits that runners have named in answers to the VM.
+	Limits []Limit `cbor:"15,keyasint,omitempty"`
 }
 
 // Summary is the aggregator's answer to a VM.
@@ -88,6 +103,8 @@
 	// Clearances and SentClearances are the same for clearances.
 	Clearances     []quarantine.Clearance `cbor:"13,keyasint,omitempty"`
 	SentClearances uint64                 `cbor:"14,keyasint,omitempty"`
+	// Limits holds the limits that runners have named in answers to any VM.
+	Limits []Limit `cbor:"15,keyasint,omitempty"`
 }
 
 // AdapterRequest asks the owner of a runner to load an adapter on it.
@@ -104,3 +121,21 @@
 	Reason string      `cbor:"2,keyasint,omitempty"`
 	Runner OwnedRunner `cbor:"3,keyasint"`
 }
+
+// PermitRequest asks for a permit to send a request to a runner that has named a limit.
+type PermitRequest struct {
+	Runner string `cbor:"1,keyasint"`
+	// PerSecond is the limit as the VM knows it.
+	PerSecond float64 `cbor:"2,keyasint"`
+	// Within is how long the request may wait for the permit.
+	Within time.Duration `cbor:"3,keyasint"`
+	// Forwarded reports that another VM passes the call on, which takes the receiver for the aggregator.
+	Forwarded bool `cbor:"4,keyasint,omitempty"`
+}
+
+// PermitResponse holds the times of a limits.Grant, from the moment of the answer.
+type PermitResponse struct {
+	Granted bool          `cbor:"1,keyasint"`
+	Wait    time.Duration `cbor:"2,keyasint"`
+	Next    time.Duration `cbor:"3,keyasint"`
+}
--- a/state/admission/admission.go
+++ b/state/admission/admission.go
@@ -38,6 +38,8 @@
 	Backlog int
 	// PrefillTokens is the number of the request's prompt tokens that need prefill.
 	PrefillTokens int
+	// PermitWait is the part of Wait until the endpoint, which has named a limit, may get the request.
+	PermitWait time.Duration
 }
 
 // Decision says whether to send a request now, and if not, why not and after what time the caller may retry.
@@ -52,15 +54,13 @@
 // Decide decides whether to send a request, given the prediction for the best endpoint. It sheds load when prompts for
 // a model arrive faster than its replicas prefill them. Without that, every request would be late.
 func Decide(now time.Time, r *fleet.Request, p Prediction) Decision {
+	limit, waited := maxLatency(r), now.Sub(r.ArrivedAt)
+	if p.PermitWait > 0 && waited+p.PermitWait > limit {
+		return Decision{Reason: LimitReached, RetryAfter: max(minRetryAfter, p.PermitWait-limit/2)}
+	}
 	if r.Kind != routes.Stream {
 		return Decision{Admitted: true}
 	}
-	target := r.TargetLatency
-	if target <= 0 {
-		target = defaultTargetLatency
-	}
-	limit := time.Duration(float64(target) * maxTargetRatio)
-	waited := now.Sub(r.ArrivedAt)
 	if waited+p.Wait > limit && p.Wait > limit/2 {
 		return Decision{Reason: "the queue is longer than the target", RetryAfter: max(minRetryAfter, p.Wait-limit/2)}
 	}
@@ -71,6 +71,23 @@
 	return Decision{Admitted: true}
 }
 
+// LimitReached is the reason for the rejection of a request that would wait too long for a permit.
+const LimitReached = "the endpoint has named a limit, which other requests use up"
+
+// PermitTimeout returns how long a request may wait for the permit to an endpoint that has named a limit.
+func PermitTimeout(now time.Time, r *fleet.Request) time.Duration {
+	return maxLatency(r) - now.Sub(r.ArrivedAt)
+}
+
+// maxLatency returns the longest time to first byte with which a request is still sent.
+func maxLatency(r *fleet.Request) time.Duration {
+	target := r.TargetLatency
+	if target <= 0 {
+		target = defaultTargetLatency
+	}
+	return time.Duration(float64(target) * maxTargetRatio)
+}
+
 // deferOrReject defers a large prompt while the endpoint prefills others. It rejects the prompt when its answer would
 // be late.
 func deferOrReject(p Prediction, limit, waited time.Duration) Decision {
--- a/state/dispatch/candidate.go
+++ b/state/dispatch/candidate.go
@@ -87,6 +87,10 @@
 	if c.AdapterNotLoaded {
 		c.Wait += adapterLoadDelay
 	}
+	if l.limited {
+		c.Limited, c.PermitWait = true, max(0, l.permitAt.Sub(now))
+		c.Wait += c.PermitWait + permitDelay
+	}
 	if runner.Domain != s.domain {
 		c.CrossDomainPenalty = crossDomainPenalty
 	}
--- a/state/dispatch/endpoint.go
+++ b/state/dispatch/endpoint.go
@@ -102,6 +102,10 @@
 	lastFirstByteAt time.Time
 	// awaitingFirstByte holds the requests whose answers have not begun.
 	awaitingFirstByte []*InFlight
+	// limited reports that the endpoint has named a limit, so that each request needs a permit, and permitAt is when the next
+	// permit is expected.
+	limited  bool
+	permitAt time.Time
 	// adapterBackoffUntil is the end of the backoff after the runner's owner failed to load an adapter.
 	adapterBackoffUntil time.Time
 }
--- a/state/dispatch/scheduler.go
+++ b/state/dispatch/scheduler.go
@@ -18,6 +18,8 @@
 	// adapterLoadDelay is the time to load an adapter that is not loaded. The load itself takes 5 to 10 ms; the rest
 	// is the cost of the order to the runner.
 	adapterLoadDelay = 60 * time.Millisecond
+	// permitDelay is the time to get a permit for a request to an endpoint that has named a limit.
+	permitDelay = 5 * time.Millisecond
 	// crossDomainPenalty is the penalty for an endpoint in another failure domain: a round trip and the cost of the
 	// traffic.
 	crossDomainPenalty = 25 * time.Millisecond
@@ -107,12 +109,17 @@
 	PrefillTokens int `json:"Unread"`
 	// AdapterNotLoaded reports that the runner holds the model but not the requested adapter.
 	AdapterNotLoaded bool `json:"Absent"`
+	// Limited reports that the request needs a permit, because the runner has named a limit. PermitWait is the part of Wait
+	// until the next permit.
+	Limited    bool          `json:",omitempty"`
+	PermitWait time.Duration `json:",omitempty"`
 }
 
 // Prediction returns the prediction for the request on the endpoint, as admission control needs it.
 func (c Choice) Prediction() admission.Prediction {
 	return admission.Prediction{
 		Wait: c.Wait, PrefillUtilization: c.PrefillUtilization, PrefillTokens: c.PrefillTokens, Backlog: c.Backlog,
+		PermitWait: c.PermitWait,
 	}
 }
 
@@ -325,6 +332,13 @@
 	s.endpoint(runner).adapterBackoffUntil = now.Add(adapterLoadBackoff)
 }
 
+// SetLimited records whether an endpoint has named a limit, so that each request needs a permit, and when the next permit
+// is expected.
+func (s *Scheduler) SetLimited(runner string, limited bool, permitAt time.Time) {
+	l := s.endpoint(runner)
+	l.limited, l.permitAt = limited, permitAt
+}
+
 // domainOutage holds the last unreachable runner of a failure domain and the end of the domain's backoff.
 type domainOutage struct {
 	runner string
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -39,6 +39,9 @@
 		owned, held, reason := g.loadAdapter(ctx, q.Runner, q.Unit)
 		return &vm.AdapterResponse{Loaded: held, Reason: reason, Runner: owned}, nil
 	})
+	rpc.Handle(mux, vm.CallTakePermit, func(ctx context.Context, q *vm.PermitRequest) (*vm.PermitResponse, error) {
+		return g.servePermit(ctx, *q), nil
+	})
 	return mux
 }
 
@@ -49,6 +52,7 @@
 		now := clock.Now()
 		aggregator := g.aggregator(now)
 		g.mu.Lock()
+		g.recordAggregator(now, aggregator)
 		report := g.report(now)
 		crashChanges := g.addCrashes(report)
 		g.mu.Unlock()
@@ -80,7 +84,7 @@
 	report := &vm.Report{
 		VM: g.settings.Name, EndpointLoads: g.scheduler.EndpointLoads(now), Demand: make(map[string]allocation.Demand),
 		SyncedRevision: g.knownRevision, Aggregator: g.aggregatorIncarnation, ReceivedChanges: g.receivedChanges,
-		PackedViews: true,
+		PackedViews: true, Limits: g.knownLimits(now),
 	}
 	for service, meter := range g.demandMeters {
 		report.Demand[service] = meter.Rates(now)
@@ -128,6 +132,7 @@
 		Grace:         max(0, g.graceUntil.Sub(now)),
 	}
 	g.exchangeCrashes(now, received, s)
+	g.exchangeLimits(now, received, s)
 	if view, ok := g.storeLog.Since(now, received.SyncedRevision, maxViewAge); ok && received.VM != g.settings.Name {
 		if received.PackedViews {
 			g.storeLog.Pack(&view)
@@ -176,6 +181,7 @@
 	for _, runner := range g.directory.All() {
 		g.scheduler.SetOtherLoad(runner.ID, s.EndpointLoads[runner.ID])
 	}
+	g.applyLimits(now, s.Limits)
 	changed := false
 	for _, o := range s.Runners {
 		changed = g.directory.MergeHoldings(o.Runner, o.Incarnation, o.Holdings, now.Add(-o.Age)) || changed
--- a/transport/gateway/aggregator.go
+++ b/transport/gateway/aggregator.go
@@ -11,10 +11,7 @@
 // there is none.
 func (g *Gateway) aggregator(now time.Time) string {
 	g.mu.Lock()
-	if g.aggregators == nil {
-		g.aggregators = aggregatorCandidates(g.memberValues)
-	}
-	candidates := g.aggregators
+	candidates := g.candidates()
 	g.mu.Unlock()
 	for _, name := range candidates {
 		if name == g.settings.Name || !g.peers.unresponsive(now, name) {
@@ -24,6 +21,14 @@
 	return ""
 }
 
+// candidates returns the VMs in the order in which they become the aggregator. The caller must hold the lock.
+func (g *Gateway) candidates() []string {
+	if g.aggregators == nil {
+		g.aggregators = aggregatorCandidates(g.memberValues)
+	}
+	return g.aggregators
+}
+
 // aggregatorCandidates returns the VMs in the order in which they become the aggregator. It takes the VM with the
 // fastest link of each failure domain, then the second of each, so that VMs that are cut off from a domain do not wait for
 // all VMs of it in turn.
--- a/transport/gateway/endpoint.go
+++ b/transport/gateway/endpoint.go
@@ -35,7 +35,7 @@
 func (g *Gateway) chooseEndpoint(ctx context.Context, x *exchange) (dispatch.Choice, *lifecycle.NoEndpoint) {
 	excluded := x.machine.Excluded()
 	waitUntil := x.request.ArrivedAt.Add(min(unloadedModelTimeout, x.request.Deadline.Sub(x.request.ArrivedAt)/2))
-	adapterRequests := 0
+	var tried endpointTries
 	for {
 		now := clock.Now()
 		// The request may have waited, and other attempts of it may have crashed endpoints meanwhile.
@@ -60,25 +60,50 @@
 			continue
 		case !decision.Admitted:
 			return choice, g.reject(x, choice, decision)
-		case ok && !choice.AdapterNotLoaded:
+		case ok && choice.Limited && (tried.permits >= maxPermitRequests || choice.PermitWait > permitTimeout(now, x)):
+			return choice, g.reject(x, choice, limitReached(choice))
+		case ok && !choice.AdapterNotLoaded && !choice.Limited:
 			g.recordAdapterUse(now, choice.Runner.ID, x.request.Unit)
 			return choice, nil
-		case ok && adapterRequests < maxAdapterRequests:
-			adapterRequests++
-			if g.requestAdapter(ctx, x, choice.Runner.ID) {
-				return choice, g.quarantineRefusal(clock.Now(), x)
+		case ok && (!choice.AdapterNotLoaded || tried.adapters < maxAdapterRequests):
+			ready := g.prepareEndpoint(ctx, x, choice, &tried)
+			if ctx.Err() != nil {
+				return choice, g.refuseWithoutEndpoint(x, len(runners), syncAge)
 			}
-			continue
+			if !ready {
+				continue
+			}
+			g.recordAdapterUse(clock.Now(), choice.Runner.ID, x.request.Unit)
+			return choice, g.quarantineRefusal(clock.Now(), x)
 		case x.request.Unit.Model == "" || len(runners) == 0 || !now.Before(waitUntil):
 			return choice, g.refuseWithoutEndpoint(x, len(runners), syncAge)
 		}
-		adapterRequests = 0
+		tried.adapters = 0
 		if !pause(ctx, changed, min(waitUntil.Sub(now), choiceRetryInterval)) {
 			return choice, g.refuseWithoutEndpoint(x, len(runners), syncAge)
 		}
 	}
 }
 
+// endpointTries counts what a request has asked for before it found an endpoint.
+type endpointTries struct{ adapters, permits int }
+
+// prepareEndpoint gets the adapter and the permit that a request needs on the chosen endpoint. It reports false if one of
+// them is not to be had.
+func (g *Gateway) prepareEndpoint(ctx context.Context, x *exchange, choice dispatch.Choice, tried *endpointTries) bool {
+	if choice.AdapterNotLoaded {
+		tried.adapters++
+		if !g.requestAdapter(ctx, x, choice.Runner.ID) {
+			return false
+		}
+	}
+	if !choice.Limited {
+		return true
+	}
+	tried.permits++
+	return g.awaitPermit(ctx, x, choice)
+}
+
 // pause waits for a time or until a channel is closed. It reports false if the context has ended.
 func pause(ctx context.Context, until <-chan struct{}, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
@@ -91,6 +116,11 @@
 	return ctx.Err() == nil
 }
 
+// limitReached returns the rejection of a request whose best endpoint has named a limit.
+func limitReached(choice dispatch.Choice) admission.Decision {
+	return admission.Decision{Reason: admission.LimitReached, RetryAfter: max(choice.PermitWait, permitRetryInterval)}
+}
+
 // reject logs and returns the rejection of a request that the best endpoint would serve too late.
 func (g *Gateway) reject(x *exchange, choice dispatch.Choice, decision admission.Decision) *lifecycle.NoEndpoint {
 	g.log.Emit(
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -61,12 +61,15 @@
 	// applying serializes the application of listings, events and forwarded views. It is locked before mu.
 	applying sync.Mutex
 
-	mu           sync.Mutex
-	directory    *fleet.Directory
-	scheduler    *dispatch.Scheduler
-	limits       *limits.Registry
-	retryBudgets map[string]*lifecycle.RetryBudget
-	random       *rand.Rand
+	mu        sync.Mutex
+	directory *fleet.Directory
+	scheduler *dispatch.Scheduler
+	limits    *limits.Registry
+	permits   *limits.Permits
+	// aggregatorSince is when this VM became the aggregator, or zero if it is not.
+	aggregatorSince time.Time
+	retryBudgets    map[string]*lifecycle.RetryBudget
+	random          *rand.Rand
 	// directoryChanged is closed and replaced at each change of the directory.
 	directoryChanged chan struct{}
 	// storeLog is the copy of the store's content from which this VM forwards views.
@@ -126,6 +129,7 @@
 		directory:        fleet.NewDirectory(),
 		scheduler:        dispatch.NewScheduler(s.Domain),
 		limits:           limits.NewRegistry(),
+		permits:          limits.NewPermits(),
 		retryBudgets:     make(map[string]*lifecycle.RetryBudget),
 		random:           rand.New(rand.NewPCG(uint64(now.UnixNano()), 0)),
 		directoryChanged: make(chan struct{}),
--- a/transport/gateway/operations.go
+++ b/transport/gateway/operations.go
@@ -7,6 +7,7 @@
 	"github.com/zinniaroute/zinniaroute/coordination/ownership"
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
+	"github.com/zinniaroute/zinniaroute/state/limits"
 	"github.com/zinniaroute/zinniaroute/state/quarantine"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 	"github.com/zinniaroute/zinniaroute/transport/group"
@@ -45,6 +46,8 @@
 	// Suspicions are the requests during which endpoints ended, and QuarantinedParts the parts of prompts that are refused.
 	Suspicions       []quarantine.Suspicion     `json:"suspicions"`
 	QuarantinedParts []quarantine.PartSuspicion `json:"quarantinedParts"`
+	// Limits holds the requests a second that runners take from all VMs together, by runner.
+	Limits map[string]string `json:"limits,omitempty"`
 	// Scheduler is the state from which the choices of runners for requests can be repeated.
 	Scheduler dispatch.Snapshot `json:"desk"`
 }
@@ -86,7 +89,7 @@
 	d := Dump{
 		VM: g.settings.Name, Domain: g.settings.Domain, StartedAt: g.startedAt, Stopping: g.stopping.Load(),
 		InFlight: g.inFlight.Load(), StoreRevision: g.knownRevision, StoreSyncedAt: g.syncedAt, Aggregator: aggregator,
-		Members: g.owners.Members(), RemainingRetries: make(map[string]int), Scheduler: g.scheduler.Snapshot(now),
+		Members: g.owners.Members(), RemainingRetries: make(map[string]int), Limits: make(map[string]string), Scheduler: g.scheduler.Snapshot(now),
 		Suspicions: g.crashes.tracker.All(now), QuarantinedParts: g.crashes.parts.Quarantined(),
 	}
 	if table := g.table.Load(); table != nil {
@@ -95,6 +98,9 @@
 	for service, budget := range g.retryBudgets {
 		d.RemainingRetries[service] = budget.Remaining(now)
 	}
+	for _, known := range g.limits.Current(now) {
+		d.Limits[known.Runner] = limits.Text(known.PerSecond)
+	}
 	for _, r := range g.directory.All() {
 		dumped := RunnerDump{
 			ID: r.ID, Service: r.Service, Domain: r.Domain, Slots: r.Slots, Draining: r.Draining, Holdings: r.Holdings,
