--- a/transport/gateway/limits_property_test.go
+++ b/transport/gateway/limits_property_test.go
@@ -23,8 +23,8 @@
 	// toldDelay is the time after an answer with a limit from which its VM is bound.
 	toldDelay = 500 * time.Millisecond
 	// excusedTime is the time after a cut or a freeze for which a VM is not bound.
-	excusedTime = time.Second
-	limitedID   = "r"
+	excusedTime    = time.Second
+	limitedID      = "r"
 	maxDisturbance = 14 * time.Second
 	// maxAnswerDelay is the longest time from a request to its answer.
 	maxAnswerDelay = 400 * time.Millisecond
@@ -195,7 +195,9 @@
 }
 
 // disturbed reports whether a VM is down, cut off or frozen.
-func (f *limitedFleet) disturbed(v *limitedVM) bool { return !v.runs(f.now) || f.now.Before(v.cutUntil) }
+func (f *limitedFleet) disturbed(v *limitedVM) bool {
+	return !v.runs(f.now) || f.now.Before(v.cutUntil)
+}
 
 // disturb kills, cuts or freezes a VM, often the aggregator.
 func (f *limitedFleet) disturb() {
