Count less capacity for a runner that names a limit when models are placed

A runner that takes one request a second counted as a whole replica of its models, so their callers were refused while other runners had room. It counts now for as much as its limit is of the ten typical requests a second that a runner serves, and gets no new replica while others have room. TestPlanCountsARunnerWithALimitAsAWholeReplica failed before: no move was planned. Without limits the plan is the same.

--- a/state/allocation/plan.go
+++ b/state/allocation/plan.go
@@ -43,10 +43,15 @@
 	Draining bool
 	// Target is the model that a moving runner is loading, which counts as a replica.
 	Target string
+	// Reduction is the part of its capacity, from 0 to 1, that the runner does not offer, as LimitReduction returns it.
+	Reduction float64
 	// LoadedAt is when each model was loaded, or the zero time when not known.
 	LoadedAt map[string]time.Time
 }
 
+// LimitReduction returns the Reduction of a runner that takes at most a number of requests a second.
+func LimitReduction(perSecond float64) float64 { return max(0, 1-perSecond*typicalWork.Seconds()) }
+
 func (r *Runner) holds(model string) bool {
 	return slices.Contains(r.Models, model) || r.Target == model
 }
@@ -67,6 +72,8 @@
 	runners  []*Runner
 	demand   Demand
 	replicas map[string]int
+	// capacity is the capacity of a model's replicas, in runners.
+	capacity map[string]float64
 	// unloadedSince is the time since which no runner holds a model.
 	unloadedSince map[string]time.Time
 	// runnerWork is the estimated demand that each runner serves, in runners.
@@ -137,32 +144,39 @@
 const warmMoves = 2
 
 func (p *planner) updateTotals() {
-	p.replicas = make(map[string]int)
+	p.replicas, p.capacity = make(map[string]int), make(map[string]float64)
 	for _, runner := range p.runners {
 		if runner.Draining {
 			continue
 		}
-		for _, model := range runner.Models {
-			p.replicas[model]++
+		models := runner.Models
+		if runner.Target != "" && !slices.Contains(models, runner.Target) {
+			models = append(slices.Clone(models), runner.Target)
 		}
-		if runner.Target != "" && !slices.Contains(runner.Models, runner.Target) {
-			p.replicas[runner.Target]++
+		for _, model := range models {
+			p.replicas[model]++
+			p.capacity[model] += 1 - runner.Reduction
 		}
 	}
 	p.runnerWork = make(map[string]float64)
 	for _, runner := range p.runners {
 		for _, model := range runner.Models {
-			p.runnerWork[runner.ID] += p.workPerReplica(model, 0)
+			p.runnerWork[runner.ID] += p.workPerReplica(model) * (1 - runner.Reduction)
 		}
 	}
 }
 
-// workPerReplica returns the work of each replica of a model, in runners, if the model had the given number of extra
-// replicas.
-func (p *planner) workPerReplica(model string, extra int) float64 {
-	return p.demand[model] / float64(max(1, p.replicas[model]+extra))
+// workPerReplica returns the work of each replica of a model on a runner with its whole capacity, in runners.
+func (p *planner) workPerReplica(model string) float64 {
+	if p.replicas[model] == 0 {
+		return p.demand[model]
+	}
+	return p.demand[model] / max(minCapacity, p.capacity[model])
 }
 
+// minCapacity is the least capacity of replicas on which the plan is based.
+const minCapacity = 0.02
+
 // minDemand and maxDemand bound the demand for a model, since its measurement may rest on a few requests. The margin is
 // one standard deviation of the number of requests in the decaying sum.
 func (p *planner) minDemand(model string) float64 {
@@ -173,9 +187,11 @@
 	return p.demand[model] + math.Sqrt(p.demand[model]*demandPerRequest) + demandPerRequest
 }
 
-// demandPerRequest is the demand, in runners, that one recent request adds: a typical request takes a tenth of a
-// second.
-var demandPerRequest = 0.1 * math.Ln2 / demandHalfLife.Seconds()
+// demandPerRequest is the demand, in runners, that one recent request adds.
+var demandPerRequest = typicalWork.Seconds() * math.Ln2 / demandHalfLife.Seconds()
+
+// typicalWork is the work of a typical request.
+const typicalWork = 100 * time.Millisecond
 
 // urgency returns the value of one more replica of a model, in runners.
 func (p *planner) urgency(model string) float64 {
@@ -183,7 +199,7 @@
 		return unloadedDemandFactor*p.maxDemand(model) +
 			unloadedUrgencyPerSecond*p.now.Sub(p.unloadedSince[model]).Seconds()
 	}
-	return p.minDemand(model) / float64(p.replicas[model])
+	return p.minDemand(model) / max(minCapacity, p.capacity[model])
 }
 
 // mostUrgentMove returns a move for the most urgent model that a runner can load.
@@ -217,7 +233,7 @@
 		if !ok {
 			continue
 		}
-		if cost := loss + p.loadCost(runner, model) + p.runnerWork[runner.ID]; cost < bestCost {
+		if cost := loss + p.loadCost(runner, model) + p.runnerWork[runner.ID] + runner.Reduction; cost < bestCost {
 			best = Assignment{Runner: runner.ID, Move: orders.Move{Unload: victims, Load: model.Name}}
 			bestCost = cost
 		}
@@ -254,7 +270,7 @@
 		held = append(held, m)
 	}
 	slices.SortStableFunc(held, func(a, b *routes.Model) int {
-		return cmp.Compare(p.workPerReplica(a.Name, 0), p.workPerReplica(b.Name, 0))
+		return cmp.Compare(p.workPerReplica(a.Name), p.workPerReplica(b.Name))
 	})
 	var names []string
 	loss := 0.0
@@ -266,7 +282,7 @@
 			continue
 		}
 		free += victim.MemoryMB
-		loss += p.workPerReplica(victim.Name, 0)
+		loss += p.workPerReplica(victim.Name) * (1 - runner.Reduction)
 		names = append(names, victim.Name)
 	}
 	return names, loss, free >= model.MemoryMB
@@ -278,7 +294,7 @@
 	if p.replicas[victim.Name] <= 1 || p.now.Sub(runner.LoadedAt[victim.Name]) < minResidence {
 		return false
 	}
-	after := p.maxDemand(victim.Name) / float64(p.replicas[victim.Name]-1)
+	after := p.maxDemand(victim.Name) / max(minCapacity, p.capacity[victim.Name]-(1-runner.Reduction))
 	return after*minUrgencyRatio < p.urgency(model.Name)
 }
 
--- a/state/allocation/plan_test.go
+++ b/state/allocation/plan_test.go
@@ -1,6 +1,7 @@
 package allocation
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -92,3 +93,27 @@
 	}
 	assert.Equal(t, len(Plan(start, engine, runners, Demand{"b": 0.2}, nil)), 0)
 }
+
+func TestLimitReduction(t *testing.T) {
+	tests := []struct{ perSecond, want float64 }{{0, 1}, {1, 0.9}, {5, 0.5}, {10, 0}, {1e9, 0}, {math.Inf(1), 0}}
+	for _, test := range tests {
+		assert.Equal(t, LimitReduction(test.perSecond), test.want, test.perSecond)
+	}
+}
+
+func TestPlanCountsARunnerWithALimitAsAWholeReplica(t *testing.T) {
+	engine := engineOf("a", "b")
+	runners := func(reduction float64) []*Runner {
+		return []*Runner{
+			{ID: "r1", Models: []string{"a"}, Reduction: reduction},
+			{ID: "r2", Models: []string{"b"}, Reduction: reduction},
+			{ID: "r3", Models: []string{"b"}},
+		}
+	}
+	demand := Demand{"a": 0.2, "b": 0.2}
+	assert.Equal(t, len(Plan(start, engine, runners(0), demand, nil)), 0)
+	moves := Plan(start, engine, runners(0.9), demand, nil)
+	assert.Equal(t, len(moves), 1)
+	assert.Equal(t, moves[0].Move.Load, "a")
+	assert.Equal(t, moves[0].Runner, "r3", "the runner without a limit")
+}
--- a/transport/gateway/plan.go
+++ b/transport/gateway/plan.go
@@ -101,8 +101,9 @@
 		}
 		p := &allocation.Runner{
 			ID: r.ID, InMemory: r.InMemory, OnDisk: r.OnDisk, Draining: r.Draining,
-			Fixed:  !ok,
-			Moving: owned.Moving || holdings.Busy || now.Sub(g.planState.lastPlannedAt[r.ID]) < moveReportTimeout,
+			Fixed:     !ok,
+			Reduction: allocation.LimitReduction(g.limits.PerSecond(r.ID)),
+			Moving:    owned.Moving || holdings.Busy || now.Sub(g.planState.lastPlannedAt[r.ID]) < moveReportTimeout,
 		}
 		for _, held := range holdings.Models {
 			p.Models = append(p.Models, held.Model)
