Ask a runner that has named a limit now and then whether its need is over

While others are free, no request goes to a runner in need, so its next answer, which would show that the need is over, may not come for long. Four seconds after its latest answer to any VM it is preferred to runners that are at most 0.1 s better. The tests with processes kill, stop and terminate the aggregator, and check that requests beyond a limit are refused at once with a time to return, and that a runner without a limit is used again.

--- a/integration/gateway_limit_test.go
+++ b/integration/gateway_limit_test.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/zinniaroute/zinniaroute/protocol/operator"
+	"github.com/zinniaroute/zinniaroute/transport/gateway"
 	"github.com/zinniaroute/zinniaroute/transport/group"
 )
 
@@ -47,7 +51,10 @@
 	path, model  string
 	perSecond    int
 	sent, served atomic.Int64
-	calls        sync.WaitGroup
+	// refused counts the answers with a time to return, and slowestRefusal is the longest time that one took.
+	refused        atomic.Int64
+	slowestRefusal atomic.Int64
+	calls          sync.WaitGroup
 }
 
 // run sends requests for a time and waits for the answers.
@@ -55,16 +62,49 @@
 	ctx, cancel := context.WithTimeout(l.t.Context(), duration)
 	defer cancel()
 	_ = group.Every(ctx, time.Second/time.Duration(l.perSecond), func(time.Time) {
-		gateway := l.gateways[int(l.sent.Add(1))%len(l.gateways)]
-		l.calls.Go(func() {
-			if l.send(gateway, l.path, l.model).status == 200 {
-				l.served.Add(1)
-			}
-		})
+		name := l.gateways[int(l.sent.Add(1))%len(l.gateways)]
+		l.calls.Go(func() { l.request(name) })
 	})
 	l.calls.Wait()
 }
 
+func (l *load) request(name string) {
+	sentAt := time.Now()
+	response := l.send(name, l.path, l.model)
+	switch {
+	case response.status == 200:
+		l.served.Add(1)
+	case response.status == 503 && response.retryAfter != "":
+		l.refused.Add(1)
+		for took := int64(time.Since(sentAt)); took > l.slowestRefusal.Load(); {
+			l.slowestRefusal.Store(took)
+		}
+	}
+}
+
+// newLimitedLoad starts gateways, and runners of the plain service.
+func newLimitedLoad(t *testing.T, gatewayCount, runnerCount, perSecond int) *load {
+	t.Helper()
+	l := &load{deployment: newDeployment(t), path: safePath, perSecond: perSecond}
+	for i := range runnerCount {
+		l.addRunner(fmt.Sprint("r", i), plainService)
+	}
+	l.startGateways(gatewayCount)
+	return l
+}
+
+func (l *load) startGateways(count int) {
+	l.t.Helper()
+	for i := range count {
+		l.gateways = append(l.gateways, fmt.Sprint("vm-", i))
+		l.startGateway(l.gateways[i])
+	}
+	for _, name := range l.gateways {
+		l.waitGatewayReady(name)
+		waitUntil(l.t, name+" serves", func() bool { return l.send(name, l.path, l.model).status == 200 })
+	}
+}
+
 func TestRunnerGetsMoreRequestsThanItsLimitFromAllGateways(t *testing.T) {
 	tests := []struct {
 		name        string
@@ -87,14 +127,7 @@
 			for i := range 4 {
 				l.addRunner(fmt.Sprint("r", i), service, "large")
 			}
-			for i := range 9 {
-				l.gateways = append(l.gateways, fmt.Sprint("vm-", i))
-				l.startGateway(l.gateways[i])
-			}
-			for _, name := range l.gateways {
-				l.waitGatewayReady(name)
-				waitUntil(t, name+" serves", func() bool { return l.send(name, l.path, l.model).status == 200 })
-			}
+			l.startGateways(9)
 			for i := range test.limited {
 				l.runners[fmt.Sprint("r", i)].SetLimit(fmt.Sprint(test.limit))
 			}
@@ -128,3 +161,75 @@
 		assert.Check(l.t, float64(used) >= want, "%s got %d requests, and its limit allows %v", id, used, 3*want)
 	}
 }
+
+func TestLimitIsExceededWhenTheAggregatorEnds(t *testing.T) {
+	for _, signal := range []syscall.Signal{syscall.SIGKILL, syscall.SIGSTOP, syscall.SIGTERM} {
+		t.Run(signal.String(), func(t *testing.T) {
+			t.Parallel()
+			const limit = 3
+			l := newLimitedLoad(t, 4, 1, 30)
+			runner := l.runners["r0"]
+			runner.SetLimit(fmt.Sprint(limit))
+			l.run(limitLearningTime)
+			bindsFrom := time.Now()
+			aggregator := l.aggregator()
+			l.gateways = slices.DeleteFunc(l.gateways, func(name string) bool { return name == aggregator })
+			l.processes[aggregator].signal(signal)
+			l.run(6 * time.Second)
+			l.processes[aggregator].signal(syscall.SIGCONT)
+			l.run(4 * time.Second)
+			most := mostWithin(runner.Arrivals(), bindsFrom)
+			assert.Check(t, float64(most) <= allowedWithin(limit), "%d requests in 4 s of %v allowed", most, allowedWithin(limit))
+			used := len(runner.Arrivals()) - countBefore(runner.Arrivals(), bindsFrom)
+			assert.Check(t, used >= 10*limit/3, "%d requests in 10 s at a limit of %d a second", used, limit)
+		})
+	}
+}
+
+// aggregator returns the VM that the first gateway takes for the aggregator.
+func (l *load) aggregator() string {
+	l.t.Helper()
+	var dump gateway.Dump
+	assert.NilError(l.t, getJSON(l.deployment.gateways[l.gateways[0]].operations, operator.StatePath, &dump))
+	return dump.Aggregator
+}
+
+func countBefore(times []time.Time, limit time.Time) int {
+	count := 0
+	for _, at := range times {
+		if at.Before(limit) {
+			count++
+		}
+	}
+	return count
+}
+
+func TestRequestsBeyondALimitWaitInsteadOfBeingRefused(t *testing.T) {
+	l := newLimitedLoad(t, 3, 1, 20)
+	l.runners["r0"].SetLimit("1")
+	l.run(limitLearningTime)
+	l.sent.Store(0)
+	l.served.Store(0)
+	l.refused.Store(0)
+	l.slowestRefusal.Store(0)
+	l.run(4 * time.Second)
+	sent, served, refused := l.sent.Load(), l.served.Load(), l.refused.Load()
+	assert.Check(t, served >= 2, "%d served", served)
+	assert.Check(t, served+refused >= sent-1, "of %d requests %d were served and %d told when to return", sent, served, refused)
+	slowest := time.Duration(l.slowestRefusal.Load())
+	assert.Check(t, slowest < time.Second, "a refusal took %v", slowest)
+}
+
+func TestRunnerIsHeldBackAfterItNamesNoLimit(t *testing.T) {
+	l := newLimitedLoad(t, 3, 1, 20)
+	for _, limit := range []string{"0", "0.5", "few"} {
+		l.runners["r0"].SetLimit(limit)
+		l.run(2 * time.Second)
+	}
+	l.runners["r0"].SetLimit("")
+	l.run(5 * time.Second)
+	l.sent.Store(0)
+	l.served.Store(0)
+	l.run(2 * time.Second)
+	assert.Check(t, l.served.Load() >= l.sent.Load()-1, "%d of %d requests were served", l.served.Load(), l.sent.Load())
+}
--- a/state/dispatch/candidate.go
+++ b/state/dispatch/candidate.go
@@ -87,8 +87,8 @@
 	if c.AdapterNotLoaded {
 		c.Wait += adapterLoadDelay
 	}
-	if l.limited {
-		c.Limited, c.PermitWait = true, max(0, l.permitAt.Sub(now))
+	if l.limit.Limited {
+		c.Limited, c.PermitWait = true, max(0, l.limit.PermitAt.Sub(now))
 		c.Wait += c.PermitWait + permitDelay
 	}
 	if runner.Domain != s.domain {
@@ -96,6 +96,9 @@
 	}
 	c.FailurePenalty = time.Duration((l.failureRate(now) - b.minFailureRate) * float64(certainFailurePenalty))
 	c.Cost = c.Wait + c.FailurePenalty + c.CrossDomainPenalty
+	if l.limit.probeDue(now) {
+		c.Cost -= probeBonus
+	}
 	return c
 }
 
--- a/state/dispatch/endpoint.go
+++ b/state/dispatch/endpoint.go
@@ -70,6 +70,21 @@
 	}
 }
 
+// Limit says when requests get a permit for an endpoint that has named a limit.
+type Limit struct {
+	// Limited reports that the endpoint has named a limit, so that each request needs a permit.
+	Limited bool `json:"limited,omitempty"`
+	// PermitAt is when the next permit is expected.
+	PermitAt time.Time `json:"permitAt,omitzero"`
+	// ProbeAt is when the endpoint's latest answer is so old that a request should find out whether the limit is over.
+	ProbeAt time.Time `json:"probeAt,omitzero"`
+}
+
+// probeDue reports whether a request should find out whether the limit is over.
+func (l Limit) probeDue(now time.Time) bool {
+	return l.Limited && !now.Before(l.ProbeAt) && !now.Before(l.PermitAt)
+}
+
 // priorityLevel returns the priority level of a request's priority, which may be out of range.
 func priorityLevel(priority int) int { return min(max(priority, 0), priorityLevels-1) }
 
@@ -102,10 +117,7 @@
 	lastFirstByteAt time.Time
 	// awaitingFirstByte holds the requests whose answers have not begun.
 	awaitingFirstByte []*InFlight
-	// limited reports that the endpoint has named a limit, so that each request needs a permit, and permitAt is when the next
-	// permit is expected.
-	limited  bool
-	permitAt time.Time
+	limit             Limit
 	// adapterBackoffUntil is the end of the backoff after the runner's owner failed to load an adapter.
 	adapterBackoffUntil time.Time
 }
--- a/state/dispatch/scheduler.go
+++ b/state/dispatch/scheduler.go
@@ -20,6 +20,8 @@
 	adapterLoadDelay = 60 * time.Millisecond
 	// permitDelay is the time to get a permit for a request to an endpoint that has named a limit.
 	permitDelay = 5 * time.Millisecond
+	// probeBonus is subtracted from the cost of an endpoint that has named a limit and has not answered for some time.
+	probeBonus = 100 * time.Millisecond
 	// crossDomainPenalty is the penalty for an endpoint in another failure domain: a round trip and the cost of the
 	// traffic.
 	crossDomainPenalty = 25 * time.Millisecond
@@ -332,12 +334,8 @@
 	s.endpoint(runner).adapterBackoffUntil = now.Add(adapterLoadBackoff)
 }
 
-// SetLimited records whether an endpoint has named a limit, so that each request needs a permit, and when the next permit
-// is expected.
-func (s *Scheduler) SetLimited(runner string, limited bool, permitAt time.Time) {
-	l := s.endpoint(runner)
-	l.limited, l.permitAt = limited, permitAt
-}
+// SetLimit records whether and when requests get a permit for an endpoint.
+func (s *Scheduler) SetLimit(runner string, limit Limit) { s.endpoint(runner).limit = limit }
 
 // domainOutage holds the last unreachable runner of a failure domain and the end of the domain's backoff.
 type domainOutage struct {
--- a/state/dispatch/scheduler_test.go
+++ b/state/dispatch/scheduler_test.go
@@ -254,3 +254,28 @@
 	s.RecordOutcome(now, late, Cancelled)
 	assert.Check(t, !s.endpoint("r0").unresponsive(now))
 }
+
+func TestEndpointWithALimit(t *testing.T) {
+	tests := []struct {
+		name  string
+		limit Limit
+		want  string
+	}{
+		{"permits at once, others free", Limit{Limited: true, ProbeAt: start.Add(time.Second)}, "r1"},
+		{"permits later", Limit{Limited: true, PermitAt: start.Add(300 * time.Millisecond)}, "r1"},
+		{"no answer for some time", Limit{Limited: true, ProbeAt: start}, "r0"},
+	}
+	for _, test := range tests {
+		s := NewScheduler("a")
+		s.SetLimit("r0", test.limit)
+		choice, ok := s.Choose(start, shortRequest(), newRunners(2), nil)
+		assert.Assert(t, ok, test.name)
+		assert.Equal(t, choice.Runner.ID, test.want, test.name)
+	}
+	s := NewScheduler("a")
+	s.SetLimit("r0", Limit{Limited: true, PermitAt: start.Add(300 * time.Millisecond)})
+	choice, ok := s.Choose(start, shortRequest(), newRunners(1), nil)
+	assert.Assert(t, ok && choice.Limited)
+	assert.Equal(t, choice.PermitWait, 300*time.Millisecond)
+	assert.Assert(t, choice.Wait >= 300*time.Millisecond)
+}
--- a/state/dispatch/snapshot.go
+++ b/state/dispatch/snapshot.go
@@ -33,8 +33,7 @@
 	Timeouts            int                 `json:"misses,omitempty"`
 	LastFirstByteAt     time.Time           `json:"began,omitzero"`
 	AdapterBackoffUntil time.Time           `json:"unorderedUntil,omitzero"`
-	Limited             bool                `json:"limited,omitempty"`
-	PermitAt            time.Time           `json:"permitAt,omitzero"`
+	Limit               Limit               `json:"limit,omitzero"`
 	AwaitingFirstByte   []InFlightSnapshot  `json:"waiting,omitempty"`
 }
 
@@ -74,7 +73,7 @@
 		LogLatencyRatio: decay.After(l.logLatencyRatio, now.Sub(l.logLatencyRatioAt), latencyRatioHalfLife),
 		AtCapacityUntil: l.atCapacityUntil, BackoffUntil: l.backoffUntil, Timeouts: l.timeouts,
 		LastFirstByteAt: l.lastFirstByteAt, AdapterBackoffUntil: l.adapterBackoffUntil,
-		Limited: l.limited, PermitAt: l.permitAt,
+		Limit: l.limit,
 	}
 	for _, t := range l.awaitingFirstByte {
 		s.AwaitingFirstByte = append(s.AwaitingFirstByte, InFlightSnapshot{SentAt: t.sentAt, PredictedWait: t.predictedWait})
@@ -101,7 +100,7 @@
 		failureAverage: s.FailureRate, failureAverageAt: at, logLatencyRatio: s.LogLatencyRatio, logLatencyRatioAt: at,
 		atCapacityUntil: s.AtCapacityUntil, backoffUntil: s.BackoffUntil, timeouts: s.Timeouts,
 		lastFirstByteAt: s.LastFirstByteAt, adapterBackoffUntil: s.AdapterBackoffUntil,
-		limited: s.Limited, permitAt: s.PermitAt,
+		limit: s.Limit,
 	}
 	for _, t := range s.AwaitingFirstByte {
 		l.awaitingFirstByte = append(l.awaitingFirstByte, &InFlight{sentAt: t.SentAt, predictedWait: t.PredictedWait})
--- a/state/limits/registry.go
+++ b/state/limits/registry.go
@@ -65,14 +65,17 @@
 	return named.PerSecond != before
 }
 
-// PerSecond returns the limit of a runner in requests a second, or Unlimited.
-func (r *Registry) PerSecond(runner string) float64 {
+// Named returns what is known of a runner's limit, or Unlimited.
+func (r *Registry) Named(runner string) Named {
 	if known, ok := r.named[runner]; ok {
-		return known.PerSecond
+		return known
 	}
-	return Unlimited
+	return Named{Runner: runner, PerSecond: Unlimited}
 }
 
+// PerSecond returns the limit of a runner in requests a second, or Unlimited.
+func (r *Registry) PerSecond(runner string) float64 { return r.Named(runner).PerSecond }
+
 // Current returns what other VMs need to be told, in order of the runners: limits, and recent ends of limits.
 func (r *Registry) Current(now time.Time) []Named {
 	var all []Named
--- a/transport/gateway/limits.go
+++ b/transport/gateway/limits.go
@@ -26,6 +26,10 @@
 	retriedPermitTimeout = 500 * time.Millisecond
 )
 
+// limitProbeInterval is the time after the latest answer of a runner that has named a limit until a request is sent there to
+// find out whether the limit is over.
+const limitProbeInterval = 4 * time.Second
+
 var errNoAggregator = errors.New("no VM is known that grants permits")
 
 // recordLimit records the limit that the head of an answer shows.
@@ -58,7 +62,10 @@
 // must hold the lock.
 func (g *Gateway) setLimited(runner string, permitAt time.Time) {
 	if g.directory.Get(runner) != nil {
-		g.scheduler.SetLimited(runner, g.limits.PerSecond(runner) != limits.Unlimited, permitAt)
+		known := g.limits.Named(runner)
+		g.scheduler.SetLimit(runner, dispatch.Limit{
+			Limited: known.PerSecond != limits.Unlimited, PermitAt: permitAt, ProbeAt: known.At.Add(limitProbeInterval),
+		})
 	}
 }
 
