Read the reports of a runner that names a limit at most once a second

While an order is under way, a runner's owner reads its report five times a second. Whether such calls count against a limit is not said; five a second beside one request a second would exceed it. The report shows the end of a load up to 0.8 s later then.

--- a/transport/gateway/orders.go
+++ b/transport/gateway/orders.go
@@ -9,6 +9,7 @@
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/protocol/vm"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
+	"github.com/zinniaroute/zinniaroute/state/limits"
 	"github.com/zinniaroute/zinniaroute/state/orders"
 	"github.com/zinniaroute/zinniaroute/state/routes"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
@@ -18,6 +19,8 @@
 	// busyReportInterval is the interval at which a runner's report is read while an order is under way or the state is
 	// not known.
 	busyReportInterval = 200 * time.Millisecond
+	// limitedReportInterval is the same for a runner that has named a limit.
+	limitedReportInterval = time.Second
 	// idleReportInterval is the interval otherwise, to detect changes that no order explains.
 	idleReportInterval = 3 * time.Second
 	// maxStepInterval is the longest time until the next check whether an order is due.
@@ -150,10 +153,14 @@
 // reportDue reports whether a runner's report must be read now. The caller must hold the lock.
 func (g *Gateway) reportDue(now time.Time, runner *fleet.Runner, o *ownedRunner) bool {
 	age := now.Sub(o.reportReadAt)
-	if !o.ledger.Known() || o.ledger.Busy() || o.ledger.Incarnation() != runner.Incarnation {
+	switch {
+	case o.ledger.Known() && !o.ledger.Busy() && o.ledger.Incarnation() == runner.Incarnation:
+		return age >= idleReportInterval
+	case g.limits.PerSecond(runner.ID) != limits.Unlimited:
+		return age >= limitedReportInterval
+	default:
 		return age >= busyReportInterval
 	}
-	return age >= idleReportInterval
 }
 
 func (g *Gateway) readReport(ctx context.Context, id string, address netip.AddrPort, o *ownedRunner) {
