Let the soak name and drop limits of runners

One runner at a time names a limit of 0, 0.5, 1 or 3 requests a second for four to ten seconds, under all other faults. The check counts per window of four seconds what gateways sent that had passed on such an answer half a second before; one that was restarted or paused is not counted for three seconds.

--- a/integration/gateway_limit_test.go
+++ b/integration/gateway_limit_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/zinniaroute/zinniaroute/protocol/operator"
+	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
 	"github.com/zinniaroute/zinniaroute/transport/gateway"
 	"github.com/zinniaroute/zinniaroute/transport/group"
 )
@@ -27,17 +28,17 @@
 // allowedWithin returns the number of requests in limitWindow that a limit allows, summed over all VMs.
 func allowedWithin(perSecond float64) float64 { return 1.5*perSecond*limitWindow.Seconds() + 5 }
 
-// mostWithin returns the largest number of times after a time within one limitWindow.
-func mostWithin(times []time.Time, after time.Time) int {
+// mostWithin returns the largest number of arrivals after a time within one limitWindow.
+func mostWithin(arrivals []modelrunner.Arrival, after time.Time) int {
 	most := 0
-	for i, first := range times {
+	for i, first := range arrivals {
 		count := 0
-		for _, at := range times[i:] {
-			if at.Sub(first) < limitWindow {
+		for _, arrival := range arrivals[i:] {
+			if arrival.At.Sub(first.At) < limitWindow {
 				count++
 			}
 		}
-		if !first.Before(after) {
+		if !first.At.Before(after) {
 			most = max(most, count)
 		}
 	}
@@ -151,12 +152,7 @@
 		return
 	}
 	for id, runner := range l.runners {
-		used := 0
-		for _, at := range runner.Arrivals() {
-			if at.After(since) {
-				used++
-			}
-		}
+		used := countSince(runner.Arrivals(), since)
 		want := limit * time.Since(since).Seconds() / 3
 		assert.Check(l.t, float64(used) >= want, "%s got %d requests, and its limit allows %v", id, used, 3*want)
 	}
@@ -180,7 +176,7 @@
 			l.run(4 * time.Second)
 			most := mostWithin(runner.Arrivals(), bindsFrom)
 			assert.Check(t, float64(most) <= allowedWithin(limit), "%d requests in 4 s of %v allowed", most, allowedWithin(limit))
-			used := len(runner.Arrivals()) - countBefore(runner.Arrivals(), bindsFrom)
+			used := countSince(runner.Arrivals(), bindsFrom)
 			assert.Check(t, used >= 10*limit/3, "%d requests in 10 s at a limit of %d a second", used, limit)
 		})
 	}
@@ -194,10 +190,10 @@
 	return dump.Aggregator
 }
 
-func countBefore(times []time.Time, limit time.Time) int {
+func countSince(arrivals []modelrunner.Arrival, since time.Time) int {
 	count := 0
-	for _, at := range times {
-		if at.Before(limit) {
+	for _, arrival := range arrivals {
+		if arrival.At.After(since) {
 			count++
 		}
 	}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -42,6 +42,8 @@
 	sendsPart bool
 	parts     atomic.Int64
 
+	limits soakLimits
+
 	mu sync.Mutex
 	// copies holds copies of the store, the latest last, from which it may return.
 	copies     []metadata.Copy
@@ -52,7 +54,7 @@
 
 // TestSoak checks the guarantees to callers under random faults, one after another and overlapping. Gateways are
 // killed, stopped, paused and restarted; the store is down or slow, loses responses, or returns from an older copy; links are cut, frozen or slow;
-// runners truncate streams, fail requests and crash on one of them; configurations change.
+// runners truncate streams, fail requests, crash on one of them, and name limits; configurations change.
 func TestSoak(t *testing.T) {
 	portsTaken.Add(int32(*soakSkippedPorts))
 	for i := range *soakSeeds {
@@ -93,6 +95,7 @@
 	if s.sendsPart {
 		callers.Go(func() { s.sendCrashingParts(ctx, vms, rand.New(rand.NewPCG(seed, 3<<32))) })
 	}
+	callers.Go(func() { s.nameLimits(ctx, rand.New(rand.NewPCG(seed, 4<<32))) })
 	returns := rand.New(rand.NewPCG(seed, 1<<32))
 	for until := time.Now().Add(*soakDuration); time.Now().Before(until); {
 		s.copies = append(s.copies, s.store.Copy())
@@ -111,6 +114,7 @@
 	callers.Wait()
 	s.checkQuarantine(vms)
 	s.checkGuarantees()
+	s.checkLimits()
 }
 
 // crashingBody is the body of the request that crashes each runner that runs it.
@@ -186,9 +190,11 @@
 	case 1:
 		s.restartGateway(vm, syscall.SIGTERM)
 	case 2:
+		frozenAt := time.Now()
 		s.processes[vm].signal(syscall.SIGSTOP)
 		group.Sleep(context.Background(), time.Duration(200+s.random.IntN(3000))*time.Millisecond)
 		s.processes[vm].signal(syscall.SIGCONT)
+		s.disturb(vm, frozenAt)
 	case 3:
 		s.processes[vm].signal(syscall.SIGHUP)
 	case 4:
@@ -234,6 +240,7 @@
 }
 
 func (s *soak) restartGateway(vm string, signal syscall.Signal) {
+	defer s.disturb(vm, time.Now())
 	old := s.processes[vm]
 	old.signal(signal)
 	// A process that was killed exits with an error, which is expected here.
@@ -264,8 +271,10 @@
 		p := paths[random.IntN(len(paths))]
 		request := newRequest(context.Background(), s.gateways[vm], p.path, p.model, []byte("{}"))
 		attempt := request.Header.Get(caller.AttemptHeader)
+		s.recordSender(attempt, vm)
 		response, err := testClient.Do(request)
 		if err == nil {
+			s.recordTold(vm, response)
 			s.recordResponse(attempt, p.model, response)
 		}
 		group.Sleep(ctx, time.Duration(5+random.IntN(30))*time.Millisecond)
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -20,7 +20,8 @@
 	// AttemptHeader is the request header with the ID of the attempt.
 	AttemptHeader = "X-Zinniaroute-Attempt-Id"
 
-	headerSeal = "X-Zinniaroute-Response-Seal"
+	headerSeal  = "X-Zinniaroute-Response-Seal"
+	headerLimit = "Server-Limit"
 )
 
 // Request describes a request of a caller.
@@ -61,6 +62,9 @@
 // ResponseSeal returns the signature of the runner that sent the response, or "" if there is none.
 func ResponseSeal(response *http.Response) string { return response.Header.Get(headerSeal) }
 
+// Limit returns the limit of requests a second that the runner named in its response, or "" if it named none.
+func Limit(response *http.Response) string { return response.Header.Get(headerLimit) }
+
 // Route is a route of a configuration in the JSON form of the platform. Times are in milliseconds.
 type Route struct {
 	Name            string `json:"name"`
--- a/standin/modelrunner/limit.go
+++ b/standin/modelrunner/limit.go
@@ -16,8 +16,15 @@
 	r.limit = perSecond
 }
 
-// Arrivals returns when requests arrived, also those that the runner did not run. Reports and orders do not count.
-func (r *Runner) Arrivals() []time.Time {
+// Arrival is a request that reached a runner.
+type Arrival struct {
+	Attempt string
+	At      time.Time
+}
+
+// Arrivals returns the requests that arrived, also those that the runner did not run, in order. Reports and orders do not
+// count.
+func (r *Runner) Arrivals() []Arrival {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return slices.Clone(r.arrivals)
@@ -27,7 +34,7 @@
 func (r *Runner) recordArrival(c *app.RequestContext) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, time.Now())
+	r.arrivals = append(r.arrivals, Arrival{Attempt: string(c.GetHeader(headerAttempt)), At: time.Now()})
 	if r.limit != "" {
 		c.Header(headerLimit, r.limit)
 	}
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -110,7 +110,7 @@
 	unsealedAnswers int
 	downUntil       time.Time
 	limit           string
-	arrivals        []time.Time
+	arrivals        []Arrival
 	// crashed is closed when the present incarnation crashes.
 	crashed chan struct{}
 }
