Log the software versions of runners, and the runners at which streams go on

Event 406 names the version of a runner's software, 521 the runners and versions between which a stream goes on within an answer, and 522 the attempt that a caller resumes. Nothing is decided by it yet.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -116,7 +116,7 @@
 	}
 	RunnerEntryChanged = Event{
 		406, logrus.InfoLevel, "entry of a runner changed",
-		[]string{"runner", "change", "service", "revision"},
+		[]string{"runner", "change", "service", "software", "revision"},
 		"Nothing.",
 	}
 	RunnerEntryUnreadable = Event{
@@ -194,6 +194,16 @@
 		[]string{"request", "runner", "error"},
 		"Check the aggregator and the network to it if it recurs.",
 	}
+	StreamContinued = Event{
+		521, logrus.InfoLevel, "a stream goes on at another runner",
+		[]string{"request", "from", "fromSoftware", "to", "toSoftware", "after"},
+		"Check the runner from which it goes on.",
+	}
+	StreamTakenUp = Event{
+		522, logrus.InfoLevel, "a caller takes up a stream that broke off",
+		[]string{"request", "resumes", "after"},
+		"Find out by the lines of the attempt that it resumes why it broke off.",
+	}
 	QuarantineUnreadable = Event{
 		516, logrus.WarnLevel, "stored quarantine could not be read; it is ignored",
 		[]string{"print", "revision", "error"},
@@ -317,7 +327,7 @@
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined,
 		RequestServed, RequestNotServed, LogLinesDropped,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
-		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable,
+		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- a/state/fleet/request.go
+++ b/state/fleet/request.go
@@ -20,6 +20,14 @@
 	DecodeStepTime = 5 * time.Millisecond
 )
 
+// Resumption says where a caller resumes a stream that broke off. It is the zero value for a new stream.
+type Resumption struct {
+	// Attempt is the identifier of the attempt that brought the stream's first event, or "" if the caller did not name it.
+	Attempt string
+	// After is the identifier of the last event that the caller has.
+	After string
+}
+
 // Request holds the properties of a caller's request on which admission and scheduling depend.
 type Request struct {
 	// ID is the identifier that the caller gave this attempt.
@@ -39,6 +47,7 @@
 	PromptTokens int
 	OutputTokens int
 	ArrivedAt    time.Time
+	Resumption Resumption
 	// Deadline is the time by which the caller needs the complete response.
 	Deadline time.Time
 	// TargetLatency is the time from arrival to the first byte within which the response has its full value.
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -85,6 +85,8 @@
 	Service string
 	Address netip.AddrPort
 	Domain  string
+	// Software is the version of the endpoint's software, or "" if it is not known. It is not the version of the weights.
+	Software string
 	// Slots is the number of requests that the endpoint serves at once.
 	Slots int
 	// Draining runners take no new requests.
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -104,6 +104,9 @@
 		lifecycle.Limits{Retryable: route.Retryable(), MaxRuns: route.MaxRuns},
 		lockedBudget{gateway: g, budget: budget},
 	)
+	if resumption := request.Resumption; resumption.After != "" {
+		g.log.Emit(eventlog.StreamTakenUp, request.ID, resumption.Attempt, resumption.After)
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	x.finish(ctx, lifecycle.Drive(ctx, clock.Now, x.machine, x))
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -79,6 +79,13 @@
 	if refusal != nil {
 		return *refusal
 	}
+	if x.relay != nil {
+		from := x.choice.Runner
+		x.gateway.log.Emit(
+			eventlog.StreamContinued, x.request.ID, from.ID, from.Software, choice.Runner.ID, choice.Runner.Software,
+			x.relay.lastEvent,
+		)
+	}
 	x.choice = choice
 	return lifecycle.Chosen{Endpoint: choice.Runner.ID}
 }
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -303,7 +303,7 @@
 func (g *Gateway) forgetRunners(ids []string) {
 	for _, id := range ids {
 		g.scheduler.Remove(id)
-		g.log.Emit(eventlog.RunnerEntryChanged, id, string(fleet.ChangeRemoved), "", 0)
+		g.log.Emit(eventlog.RunnerEntryChanged, id, string(fleet.ChangeRemoved), "", "", 0)
 	}
 }
 
@@ -375,7 +375,7 @@
 		delete(g.runnerEntries, id)
 		if change := g.directory.Remove(id); change != fleet.ChangeNone {
 			g.scheduler.Remove(id)
-			g.log.Emit(eventlog.RunnerEntryChanged, id, string(change), "", item.Revision)
+			g.log.Emit(eventlog.RunnerEntryChanged, id, string(change), "", "", item.Revision)
 		}
 		return true
 	}
@@ -386,7 +386,7 @@
 	}
 	g.recordRunnerStart(now, runner)
 	if change := g.directory.Put(now, runner); change != fleet.ChangeNone {
-		g.log.Emit(eventlog.RunnerEntryChanged, id, string(change), runner.Service, item.Revision)
+		g.log.Emit(eventlog.RunnerEntryChanged, id, string(change), runner.Service, runner.Software, item.Revision)
 	}
 	runner.Revision = 0
 	previous, known := g.runnerEntries[id]
