--- /dev/null
+++ b/integration/gateway_order_test.go
@@ -0,0 +1,196 @@
+package integration
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/zinniaroute/zinniaroute/standin/caller"
+	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
+	"github.com/zinniaroute/zinniaroute/transport/group"
+)
+
+// stream is a stream of events that a caller receives over one or more attempts.
+type stream struct {
+	// attempt is the attempt that brought the first event.
+	attempt string
+	// lastEvent is the ID of the last event, and software lists the versions of the runners from which events came.
+	lastEvent string
+	software  []string
+	complete  bool
+	// statuses holds the status of each attempt, or zero where there was no answer.
+	statuses []int
+}
+
+// receive sends a request for the rest of the stream to a gateway and reads events until the answer ends.
+func (s *stream) receive(ctx context.Context, node gatewayNode, model string) {
+	n := <-nextAttempt
+	nextAttempt <- n + 1
+	attempt := fmt.Sprintf("attempt-%d", n)
+	request, err := caller.NewRequest(ctx, node.callers, caller.Request{
+		Attempt: attempt, Host: testHost, Path: resumePath, Model: model, Body: []byte("{}"),
+		Resumes: s.attempt, ResumeAfter: s.lastEvent,
+	})
+	if err != nil {
+		panic(err)
+	}
+	response, err := testClient.Do(request)
+	if err != nil {
+		s.statuses = append(s.statuses, 0)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	s.statuses = append(s.statuses, response.StatusCode)
+	if response.StatusCode != http.StatusOK {
+		return
+	}
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		if id, ok := strings.CutPrefix(scanner.Text(), "id: "); ok {
+			s.lastEvent = id
+			if s.attempt == "" {
+				s.attempt = attempt
+			}
+		}
+		if _, software, ok := strings.Cut(scanner.Text(), " of "); ok && !slices.Contains(s.software, software) {
+			s.software = append(s.software, software)
+		}
+	}
+	s.complete = scanner.Err() == nil
+}
+
+// versionedRunners starts two runners of each version of the software.
+func versionedRunners(d *deployment, events int, pause time.Duration, versions ...string) {
+	for _, software := range versions {
+		for i := range 2 {
+			d.addRunnerWith(modelrunner.Options{
+				ID: fmt.Sprint(software, "-", i), Service: modelService, Domain: "a", Software: software, MemoryMB: 200, ModelMB: 80,
+				AdapterSlots: 2, StreamEvents: events, Pause: pause,
+				Models: []modelrunner.Model{{Name: "large", Version: 1, Adapters: []string{}}},
+			})
+		}
+	}
+}
+
+// receiveAll starts streams at the gateways in turn and waits until their answers end.
+func receiveAll(d *deployment, streams []*stream, gateways []string, first int) {
+	var calls sync.WaitGroup
+	for i, s := range streams {
+		calls.Go(func() { s.receive(context.Background(), d.gateways[gateways[(first+i)%len(gateways)]], "large") })
+	}
+	calls.Wait()
+}
+
+func newStreams(count int) []*stream {
+	streams := make([]*stream, count)
+	for i := range streams {
+		streams[i] = &stream{}
+	}
+	return streams
+}
+
+// countStreams counts the streams of several versions, and the complete ones.
+func countStreams(streams []*stream) (joined, complete int) {
+	for _, s := range streams {
+		if len(s.software) > 1 {
+			joined++
+		}
+		if s.complete {
+			complete++
+		}
+	}
+	return joined, complete
+}
+
+func TestStreamGoesOnAtAnotherSoftwareVersion(t *testing.T) {
+	d := newDeployment(t)
+	versionedRunners(d, 8, 20*time.Millisecond, "v1", "v1.1", "v1.2")
+	d.addGateway("vm-1")
+	waitUntil(t, "the gateway serves", func() bool { return d.send("vm-1", resumePath, "large").status == 200 })
+	streams := newStreams(40)
+	for i, s := range streams {
+		if i%len(d.runners) == 0 {
+			for _, runner := range d.runners {
+				runner.TruncateAfter(3)
+			}
+		}
+		s.receive(t.Context(), d.gateways["vm-1"], "large")
+	}
+	joined, complete := countStreams(streams)
+	assert.Check(t, joined == 0, "%d of %d streams hold events of two versions", joined, len(streams))
+	assert.Check(t, complete >= len(streams)/2, "%d of %d streams are complete", complete, len(streams))
+}
+
+func TestTakenUpStreamsAreJoinedFromTwoSoftwareVersions(t *testing.T) {
+	tests := []struct {
+		name   string
+		killed int
+		times  int
+	}{
+		{"one gateway is killed", 1, 1},
+		{"all gateways are killed", 3, 1},
+		{"all gateways are killed twice", 3, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDeployment(t)
+			versionedRunners(d, 30, 100*time.Millisecond, "v1", "v1.1", "v1.2")
+			gateways := []string{"vm-1", "vm-2", "vm-3"}
+			for _, name := range gateways {
+				d.addGateway(name)
+			}
+			for _, name := range gateways {
+				waitUntil(t, name+" serves", func() bool { return d.send(name, resumePath, "large").status == 200 })
+			}
+			streams := newStreams(36)
+			for i := range test.times {
+				killAfter(d, gateways[:test.killed], 1200*time.Millisecond, func() { receiveAll(d, streams, gateways, i) })
+			}
+			broken := slices.DeleteFunc(slices.Clone(streams), func(s *stream) bool { return s.complete || s.lastEvent == "" })
+			receiveAll(d, broken, gateways, test.times)
+			joined, complete := countStreams(broken)
+			assert.Check(t, len(broken) >= 10*test.killed, "%d streams broke off", len(broken))
+			assert.Check(t, joined == 0, "%d of %d streams hold events of two versions", joined, len(broken))
+			assert.Check(t, 2*complete >= len(broken), "%d of %d streams that broke off are complete: %v", complete, len(broken), statusesOf(broken))
+		})
+	}
+}
+
+func statusesOf(streams []*stream) map[string]int {
+	counts := make(map[string]int)
+	for _, s := range streams {
+		counts[fmt.Sprint(s.statuses)]++
+	}
+	return counts
+}
+
+// killAfter kills gateways some time after work has begun, starts them again and waits for the end of the work.
+func killAfter(d *deployment, gateways []string, after time.Duration, work func()) {
+	done := make(chan struct{})
+	d.group.Run("work", func(context.Context) {
+		defer close(done)
+		work()
+	})
+	group.Sleep(context.Background(), after)
+	for _, name := range gateways {
+		d.processes[name].signal(syscall.SIGKILL)
+	}
+	<-done
+	for _, name := range gateways {
+		// A process that was killed exits with an error, which is expected here.
+		_ = d.processes[name].command.Wait()
+		d.startProcess(name, "gateway", "--settings", d.gateways[name].settings)
+	}
+	for _, name := range gateways {
+		d.waitGatewayReady(name)
+	}
+}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -36,6 +36,10 @@
 	// Prompt lists the parts of the prompt of a request to a model as ID:TOKENS pairs. An empty one stands for two parts.
 	Prompt string
 	Body   []byte
+	// Resumes is the attempt that brought the first event of a stream that broke off, and ResumeAfter the ID of the last
+	// event of it. Both are empty for a new request.
+	Resumes     string
+	ResumeAfter string
 }
 
 // NewRequest returns the HTTP request to a VM. Requests to a model get fixed token counts.
@@ -56,6 +60,12 @@
 		request.Header.Set("X-Zinniaroute-Token-Count", "100,50")
 		request.Header.Set("X-Zinniaroute-Prompt-Prefix", cmp.Or(r.Prompt, "a1:50,b2:50"))
 	}
+	if r.ResumeAfter != "" {
+		request.Header.Set("Last-Event-Id", r.ResumeAfter)
+	}
+	if r.Resumes != "" {
+		request.Header.Set("Resumes", r.Resumes)
+	}
 	return request, nil
 }
 
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -1,6 +1,7 @@
 package modelrunner
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -25,6 +26,7 @@
 	headerTarget      = "X-Zinniaroute-Target-Instance"
 	headerSeal        = "X-Zinniaroute-Response-Seal"
 	headerLastEventID = "Last-Event-Id"
+	headerResumes     = "Resumes"
 
 	statusOK            = 200
 	statusAccepted      = 202
@@ -45,6 +47,8 @@
 	ID      string
 	Service string
 	Domain  string
+	// Software is the version of the runner's software, "v1" if empty. The events of streams name it.
+	Software string
 	Models  []Model
 	// MemoryMB, ModelMB (the size of each model) and AdapterSlots limit what the runner can hold. A real runner crashes
 	// when an order exceeds the limits. Overcommitted reports whether that would have happened.
@@ -66,6 +70,8 @@
 	Path    string
 	Body    string
 	Prompt  string
+	// Resumes is the attempt that brought the first event of a stream that a caller takes up.
+	Resumes string
 	// ResumeAfter is the ID of the event after which the caller resumes the stream.
 	ResumeAfter string
 	// Cancelled means that the caller disconnected before the end.
@@ -77,7 +83,8 @@
 func newRun(c *app.RequestContext) Run {
 	return Run{
 		Attempt: string(c.GetHeader(headerAttempt)), Path: string(c.Request.Header.RequestURI()),
-		Body: string(c.Request.Body()), Prompt: string(c.GetHeader(headerPrompt)), ResumeAfter: string(c.GetHeader(headerLastEventID)), At: time.Now(),
+		Body: string(c.Request.Body()), Prompt: string(c.GetHeader(headerPrompt)), Resumes: string(c.GetHeader(headerResumes)),
+		ResumeAfter: string(c.GetHeader(headerLastEventID)), At: time.Now(),
 	}
 }
 
@@ -146,7 +153,7 @@
 		state = "draining"
 	}
 	data, err := json.Marshal(map[string]any{
-		"service": r.options.Service, "address": r.address, "zone": r.options.Domain, "version": "v1", "slots": 8,
+		"service": r.options.Service, "address": r.address, "zone": r.options.Domain, "version": r.software(), "slots": 8,
 		"state": state, "stage": "both", "models": r.models, "sequence": r.sequence, "born": r.startedAtMS,
 	})
 	if err != nil {
@@ -155,6 +162,8 @@
 	return data
 }
 
+func (r *Runner) software() string { return cmp.Or(r.options.Software, "v1") }
+
 // SetDraining makes Entry return the state draining.
 func (r *Runner) SetDraining() {
 	r.mu.Lock()
@@ -383,7 +392,7 @@
 			r.mu.Unlock()
 			return
 		}
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: token %d\n\n", i, i); err != nil {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: token %d of %s\n\n", i, i, r.software()); err != nil {
 			return
 		}
 		if err := writer.Flush(); err != nil {
