Keep a stream to the software version that began it, within an answer

The next runner must now have the version that began the stream. If none has, the answer is broken off without looking whole. An entry may be out of date, as a runner may start again under its name with another version: the report of the runner that begins a stream, read in the background, and that of one that continues it, read before its first event is passed on, must show the incarnation of the entry. A stream whose beginning could not be confirmed does not go on.

--- a/integration/gateway_order_test.go
+++ b/integration/gateway_order_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/zinniaroute/zinniaroute/standin/caller"
 	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
+	"github.com/zinniaroute/zinniaroute/standin/proxy"
 	"github.com/zinniaroute/zinniaroute/transport/group"
 )
 
@@ -130,6 +131,35 @@
 	assert.Check(t, complete >= len(streams)/2, "%d of %d streams are complete", complete, len(streams))
 }
 
+// The gateway is cut off from the store, so it takes a runner that has started again for the one before.
+func TestStreamGoesOnAtARunnerThatHasAnotherVersionSince(t *testing.T) {
+	for _, upgraded := range []string{"r1", "r2"} {
+		t.Run(upgraded, func(t *testing.T) {
+			d := newDeployment(t)
+			for _, id := range []string{"r1", "r2"} {
+				d.addRunnerWith(modelrunner.Options{
+					ID: id, Service: modelService, Domain: "a", MemoryMB: 200, ModelMB: 80, AdapterSlots: 2, StreamEvents: 6,
+					Pause: 20 * time.Millisecond, Models: []modelrunner.Model{{Name: "large", Version: 1, Adapters: []string{}}},
+				})
+			}
+			d.addGateway("vm-1")
+			waitUntil(t, "the gateway serves", func() bool { return d.send("vm-1", resumePath, "large").status == 200 })
+			d.storeLinks["vm-1"].Set(proxy.Faults{Disconnect: true})
+			group.Sleep(t.Context(), 10*time.Millisecond)
+			d.runners[upgraded].Upgrade("v2")
+			streams := newStreams(6)
+			for _, s := range streams {
+				for _, runner := range d.runners {
+					runner.TruncateAfter(3)
+				}
+				s.receive(t.Context(), d.gateways["vm-1"], "large")
+			}
+			joined, _ := countStreams(streams)
+			assert.Check(t, joined == 0, "%d of %d streams hold events of two versions", joined, len(streams))
+		})
+	}
+}
+
 func TestTakenUpStreamsAreJoinedFromTwoSoftwareVersions(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -49,7 +49,7 @@
 	Domain  string
 	// Software is the version of the runner's software, "v1" if empty. The events of streams name it.
 	Software string
-	Models  []Model
+	Models   []Model
 	// MemoryMB, ModelMB (the size of each model) and AdapterSlots limit what the runner can hold. A real runner crashes
 	// when an order exceeds the limits. Overcommitted reports whether that would have happened.
 	MemoryMB     float64
@@ -97,11 +97,12 @@
 
 // Runner is a stand-in for one endpoint.
 type Runner struct {
-	options     Options
-	address     string
-	startedAtMS int64
+	options Options
+	address string
 
 	mu            sync.Mutex
+	startedAtMS   int64
+	software      string
 	models        []Model
 	busy          bool
 	sequence      uint64
@@ -126,7 +127,7 @@
 func New(options Options) *Runner {
 	return &Runner{
 		options: options, models: slices.Clone(options.Models), startedAtMS: time.Now().UnixMilli(), truncateAfter: -1,
-		crashed: make(chan struct{}),
+		crashed: make(chan struct{}), software: cmp.Or(options.Software, "v1"),
 	}
 }
 
@@ -153,7 +154,7 @@
 		state = "draining"
 	}
 	data, err := json.Marshal(map[string]any{
-		"service": r.options.Service, "address": r.address, "zone": r.options.Domain, "version": r.software(), "slots": 8,
+		"service": r.options.Service, "address": r.address, "zone": r.options.Domain, "version": r.software, "slots": 8,
 		"state": state, "stage": "both", "models": r.models, "sequence": r.sequence, "born": r.startedAtMS,
 	})
 	if err != nil {
@@ -162,7 +163,13 @@
 	return data
 }
 
-func (r *Runner) software() string { return cmp.Or(r.options.Software, "v1") }
+// Upgrade starts the runner again under its identifier, with another version of its software and the models that it
+// holds. Requests that it runs go on.
+func (r *Runner) Upgrade(software string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.software, r.startedAtMS = software, time.Now().UnixMilli()
+}
 
 // SetDraining makes Entry return the state draining.
 func (r *Runner) SetDraining() {
@@ -357,7 +364,7 @@
 		return
 	}
 	r.mu.Lock()
-	crashed := r.crashed
+	crashed, software := r.crashed, r.software
 	r.mu.Unlock()
 	index, truncateAfter, ok := r.beginRun(c)
 	if !ok {
@@ -392,7 +399,7 @@
 			r.mu.Unlock()
 			return
 		}
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: token %d of %s\n\n", i, i, r.software()); err != nil {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: token %d of %s\n\n", i, i, software); err != nil {
 			return
 		}
 		if err := writer.Flush(); err != nil {
--- a/state/fleet/request.go
+++ b/state/fleet/request.go
@@ -47,7 +47,7 @@
 	PromptTokens int
 	OutputTokens int
 	ArrivedAt    time.Time
-	Resumption Resumption
+	Resumption   Resumption
 	// Deadline is the time by which the caller needs the complete response.
 	Deadline time.Time
 	// TargetLatency is the time from arrival to the first byte within which the response has its full value.
--- a/transport/gateway/endpoint.go
+++ b/transport/gateway/endpoint.go
@@ -35,6 +35,12 @@
 func (g *Gateway) chooseEndpoint(ctx context.Context, x *exchange) (dispatch.Choice, *lifecycle.NoEndpoint) {
 	excluded := x.machine.Excluded()
 	waitUntil := x.request.ArrivedAt.Add(min(unloadedModelTimeout, x.request.Deadline.Sub(x.request.ArrivedAt)/2))
+	software := ""
+	if x.binding != nil {
+		// The caller waits between two events, and the model may be placed on runners of another version.
+		waitUntil = x.request.ArrivedAt
+		software = x.boundSoftware(ctx)
+	}
 	var tried endpointTries
 	for {
 		now := clock.Now()
@@ -43,7 +49,7 @@
 			return dispatch.Choice{}, refusal
 		}
 		g.mu.Lock()
-		runners := g.directory.OfService(x.service)
+		runners := x.endpoints(g.directory.OfService(x.service), software)
 		choice, ok := g.scheduler.Choose(now, &x.request, runners, excluded)
 		syncAge := now.Sub(g.syncedAt)
 		changed := g.directoryChanged
@@ -142,8 +148,11 @@
 	refusal := &lifecycle.NoEndpoint{
 		Reason: "no endpoint holds " + x.request.Unit.String(), RetryAfter: unloadedModelRetryAfter,
 	}
-	if runners == 0 {
-		refusal = &lifecycle.NoEndpoint{Reason: "service " + x.service + " has no endpoint", RetryAfter: noEndpointRetryAfter}
+	switch {
+	case runners == 0 && x.binding != nil:
+		refusal.Reason, refusal.RetryAfter = "no endpoint has the software that began the stream", noEndpointRetryAfter
+	case runners == 0:
+		refusal.Reason, refusal.RetryAfter = "service "+x.service+" has no endpoint", noEndpointRetryAfter
 	}
 	g.log.Emit(eventlog.NoEndpoint, x.request.ID, refusal.Reason, runners, syncAge.Milliseconds())
 	return refusal
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -49,9 +49,11 @@
 	trial bool
 	call  *httpcall.Exchange
 	// body is the body of an answer that is relayed whole.
-	body   []byte
-	relay  *eventRelay
-	sentAt time.Time
+	body  []byte
+	relay *eventRelay
+	// binding holds the software version of a resumable stream that has begun, and is nil for other requests.
+	binding *binding
+	sentAt  time.Time
 	// firstByteLatency is the time from the last send to the first byte of the answer.
 	firstByteLatency time.Duration
 }
@@ -160,6 +162,9 @@
 	}
 	if x.route.Kind == routes.Stream && header.StatusCode() == statusOK {
 		x.recordFirstByte()
+		if !x.fits(ctx) {
+			return lifecycle.Lost{}
+		}
 		return lifecycle.Answered{}
 	}
 	body, err := x.call.ReadAll(ctx, maxAnswerBytes)
@@ -178,6 +183,25 @@
 	return lifecycle.Answered{Failure: failure || x.relay != nil}
 }
 
+// fits reports whether the stream that a runner begins to send fits what the caller has of it. It ends the call if not.
+func (x *exchange) fits(ctx context.Context) bool {
+	if !x.route.Resumable {
+		return true
+	}
+	if x.binding == nil {
+		x.bind()
+		return true
+	}
+	err := x.gateway.confirmIncarnation(ctx, x.choice.Runner)
+	if err == nil {
+		return true
+	}
+	x.call.Abort()
+	x.recordOutcome(dispatch.Cancelled, false)
+	x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, true, err)
+	return false
+}
+
 func (x *exchange) handleDecline(ctx context.Context, head platform.ResponseHead) lifecycle.Event {
 	_, err := x.call.ReadAll(ctx, maxAnswerBytes)
 	if err != nil {
@@ -252,7 +276,7 @@
 		x.call.Abort()
 		x.recordBrokenAnswer(ctx, dispatch.Failed, err)
 		x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, true, err)
-		return lifecycle.Truncated{Resumable: x.route.Resumable}
+		return lifecycle.Truncated{Resumable: x.binding != nil && x.boundSoftware(ctx) != ""}
 	}
 }
 
