Keep streams that callers take up to the software version that began them

Resumes was passed on and not read, and what a VM knew of a stream died with it (event 522).

A VM that begins a resumable stream now stores its origin, the service and the version, under the attempt that brought the first event, when the runner's report has confirmed it. The keys end with a lease after the longest time of a stream. Origins are written in the background, 32 at once, and take a quarter of the store's writes at most over all VMs; the first event does not wait. The VM at which the caller takes the stream up knows its own origins, reads others from the store, and falls back on the only version that has been in service for the longest time of a stream, if it was in sync with the store all the while. It answers 503 at once if none of these tells, or if no runner of the version serves; records are true whenever they are written, so late or repeated writes do no harm.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -201,9 +201,19 @@
 	}
 	StreamTakenUp = Event{
 		522, logrus.InfoLevel, "a caller takes up a stream that broke off",
-		[]string{"request", "resumes", "after"},
+		[]string{"request", "resumes", "after", "software", "source"},
 		"Find out by the lines of the attempt that it resumes why it broke off.",
 	}
+	OriginsNotStored = Event{
+		523, logrus.WarnLevel, "origins of streams could not be stored; the write is retried for two seconds",
+		[]string{"streams", "error"},
+		"Check the store. Callers can take up these streams at this VM only, unless one software version alone is in service.",
+	}
+	OriginUnconfirmed = Event{
+		524, logrus.InfoLevel, "report of a runner does not confirm which software began a stream; the stream cannot go on elsewhere",
+		[]string{"request", "runner", "software", "error"},
+		"Check the runner if it recurs.",
+	}
 	QuarantineUnreadable = Event{
 		516, logrus.WarnLevel, "stored quarantine could not be read; it is ignored",
 		[]string{"print", "revision", "error"},
@@ -327,7 +337,7 @@
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined,
 		RequestServed, RequestNotServed, LogLinesDropped,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
-		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable,
+		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, OriginsNotStored, OriginUnconfirmed, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -27,7 +27,9 @@
 	MemoryMB int `json:"memoryMB"`
 	// LinkMbps is the speed of the VM's link in megabits per second. VMs with a faster link are preferred as aggregator.
 	LinkMbps float64 `json:"linkMbps"`
-	Bounds   Bounds  `json:"bounds"`
+	// StoreWritesPerSecond is the number of writing calls a second that the store takes from all VMs together.
+	StoreWritesPerSecond float64 `json:"storeWrites"`
+	Bounds               Bounds  `json:"bounds"`
 }
 
 // Bounds holds the limits that the platform imposes on the system.
@@ -48,12 +50,15 @@
 	LoadOverage float64           `json:"loadOverage"`
 }
 
-// defaultGatewayMemoryMB applies when the file does not set the memory.
-const defaultGatewayMemoryMB = 256
+// The settings that apply when the file does not set them.
+const (
+	defaultGatewayMemoryMB      = 256
+	defaultStoreWritesPerSecond = 400
+)
 
 // ParseGateway decodes the settings of a gateway and returns every fault that it finds.
 func ParseGateway(file string, data []byte) (Gateway, document.Findings) {
-	s := Gateway{MemoryMB: defaultGatewayMemoryMB}
+	s := Gateway{MemoryMB: defaultGatewayMemoryMB, StoreWritesPerSecond: defaultStoreWritesPerSecond}
 	positions, findings := document.Decode(file, data, &s)
 	c := &checker{positions: positions, findings: findings}
 	if s.Name == "" {
@@ -72,6 +77,9 @@
 	if s.LinkMbps < 0 {
 		c.report("linkMbps", "must not be negative")
 	}
+	if s.StoreWritesPerSecond <= 0 {
+		c.report("storeWrites", "must be positive")
+	}
 	c.bounds(s.Bounds)
 	return s, c.findings
 }
--- a/standin/metadata/server.go
+++ b/standin/metadata/server.go
@@ -34,6 +34,7 @@
 	server := httpserve.NewServer(listener, httpserve.DefaultBounds(), false)
 	server.Use(s.nameEra)
 	server.Use(s.Faults.Handle)
+	server.GET("/zinniaroute/kv-key", s.get)
 	server.GET("/zinniaroute/kv-range", s.list)
 	server.GET("/zinniaroute/kv-watch", s.watch)
 	server.POST("/zinniaroute/kv-txn", s.commit)
@@ -97,6 +98,18 @@
 	c.JSON(statusOK, map[string]any{"items": items, "has_more": hasMore, "store_revision": revision})
 }
 
+func (s *Server) get(_ context.Context, c *app.RequestContext) {
+	items, _, revision := s.store.list(time.Now(), c.Query("key"), "", 1)
+	if len(items) == 0 || items[0].Key != c.Query("key") {
+		c.SetStatusCode(statusNotFound)
+		return
+	}
+	c.JSON(statusOK, struct {
+		item
+		StoreRevision uint64 `json:"store_revision"`
+	}{items[0], revision})
+}
+
 func (s *Server) watch(ctx context.Context, c *app.RequestContext) {
 	wait := min(time.Duration(parseUint(c.Query("wait_ms")))*time.Millisecond, maxWatchTimeout)
 	ctx, cancel := context.WithTimeout(ctx, wait)
--- /dev/null
+++ b/state/origins/doc.go
@@ -0,0 +1,2 @@
+// Package origins remembers at which version of a service's software streams began, so that they go on at no other.
+package origins
--- a/state/routes/table.go
+++ b/state/routes/table.go
@@ -136,6 +136,15 @@
 	return nil
 }
 
+// Each calls a function for each route.
+func (t *Table) Each(use func(route *Route)) {
+	for _, hostRoutes := range t.byHost {
+		for _, route := range hostRoutes {
+			use(route)
+		}
+	}
+}
+
 // Size returns the number of routes, over all hosts.
 func (t *Table) Size() int {
 	size := 0
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -95,6 +95,11 @@
 		gateway: g, context: c, route: route, request: request, configurationVersion: table.Version,
 		service: route.Pick(g.randomFraction()),
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if route.Resumable && request.Resumption.After != "" {
+		x.takeUp(ctx, now)
+	}
 	g.mu.Lock()
 	budget := g.retryBudget(now, x.service)
 	budget.RecordRequest(now)
@@ -104,11 +109,6 @@
 		lifecycle.Limits{Retryable: route.Retryable(), MaxRuns: route.MaxRuns},
 		lockedBudget{gateway: g, budget: budget},
 	)
-	if resumption := request.Resumption; resumption.After != "" {
-		g.log.Emit(eventlog.StreamTakenUp, request.ID, resumption.Attempt, resumption.After)
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	x.finish(ctx, lifecycle.Drive(ctx, clock.Now, x.machine, x))
 }
 
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -53,7 +53,9 @@
 	relay *eventRelay
 	// binding holds the software version of a resumable stream that has begun, and is nil for other requests.
 	binding *binding
-	sentAt  time.Time
+	// resumption means that the caller takes up a stream that broke off.
+	resumption bool
+	sentAt     time.Time
 	// firstByteLatency is the time from the last send to the first byte of the answer.
 	firstByteLatency time.Duration
 }
@@ -77,6 +79,9 @@
 
 // Choose returns the chosen endpoint, or the reason why none can take the request.
 func (x *exchange) Choose(ctx context.Context) lifecycle.Event {
+	if x.resumption && x.binding == nil {
+		return x.refuseTakeUp()
+	}
 	choice, refusal := x.gateway.chooseEndpoint(ctx, x)
 	if refusal != nil {
 		return *refusal
@@ -257,13 +262,16 @@
 func (x *exchange) relayEvents(ctx context.Context) lifecycle.Event {
 	if x.relay == nil {
 		platform.CopyHead(&x.call.Response.Header, &x.context.Response.Header)
-		x.relay = newEventRelay(x.context)
+		x.relay = newEventRelay(x.context, x.request.Resumption.After)
 	}
 	err := x.relay.copy(x.call.Body(), x.call.EndsWithConnection())
 	switch {
 	case err == nil:
 		x.call.Done()
 		x.recordOutcome(dispatch.Served, true)
+		if x.binding != nil {
+			x.binding.complete.Store(true)
+		}
 		return lifecycle.Completed{}
 	case errors.Is(err, errCallerLeft) || ctx.Err() != nil:
 		x.call.Abort()
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
 	"github.com/zinniaroute/zinniaroute/state/limits"
+	"github.com/zinniaroute/zinniaroute/state/origins"
 	"github.com/zinniaroute/zinniaroute/state/routes"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 	"github.com/zinniaroute/zinniaroute/transport/group"
@@ -66,6 +67,12 @@
 	scheduler *dispatch.Scheduler
 	limits    *limits.Registry
 	permits   *limits.Permits
+	// origins holds where streams began that this VM served, and versions the software versions of runners of late.
+	origins  *origins.Table
+	versions *origins.History
+	// queuedOrigins are to be written to the store. originsQueued wakes the task that does so.
+	queuedOrigins []queuedOrigin
+	originsQueued chan struct{}
 	// aggregatorSince is when this VM became the aggregator, or zero if it is not.
 	aggregatorSince time.Time
 	retryBudgets    map[string]*lifecycle.RetryBudget
@@ -128,6 +135,9 @@
 		store:            platform.NewStore(s.Store),
 		directory:        fleet.NewDirectory(),
 		scheduler:        dispatch.NewScheduler(s.Domain),
+		origins:          origins.NewTable(),
+		versions:         origins.NewHistory(),
+		originsQueued:    make(chan struct{}, 1),
 		limits:           limits.NewRegistry(),
 		permits:          limits.NewPermits(),
 		retryBudgets:     make(map[string]*lifecycle.RetryBudget),
@@ -173,6 +183,7 @@
 	tasks.Start("claim runners", g.claimRunners)
 	tasks.Start("exchange", g.syncWithAggregator)
 	tasks.Start("store quarantines", g.storeQuarantines)
+	tasks.Start("store origins", g.storeOrigins)
 	g.log.Emit(eventlog.ProcessStarted, "gateway", callers.Addr().String(), readiness.Addr().String())
 }
 
--- a/transport/gateway/metrics.go
+++ b/transport/gateway/metrics.go
@@ -29,6 +29,9 @@
 	// crashRecords counts by event: crashes recorded here, records dropped after a complete answer, requests quarantined,
 	// and requests refused because of it.
 	crashRecords = expvar.NewMap("gatewayCrashRecords")
+	// streamRecords counts the origins of streams that were stored, and the streams that callers took up, by the source of
+	// what is known of their origin.
+	streamRecords = expvar.NewMap("gatewayStreams")
 	// limitRecords counts the changes of limits that runners name, and the requests sent to runners that named one.
 	limitRecords = expvar.NewMap("gatewayLimits")
 )
--- a/transport/gateway/software.go
+++ b/transport/gateway/software.go
@@ -3,17 +3,23 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
+	"github.com/zinniaroute/zinniaroute/transport/clock"
 )
 
 // confirmTimeout is the time limit for the report that shows which incarnation of a runner answers.
 const confirmTimeout = 200 * time.Millisecond
 
-var errOtherIncarnation = errors.New("the runner has started again since its entry was read")
+var (
+	errOtherIncarnation = errors.New("the runner has started again since its entry was read")
+	errUnknownSoftware  = errors.New("the runner's entry names no version of its software")
+)
 
 // binding keeps a stream to the version of the software that began it: what two versions write does not fit together.
 type binding struct {
@@ -21,6 +27,8 @@
 	done chan struct{}
 	// software is the version, or "" if it could not be confirmed. The stream cannot go on elsewhere then.
 	software string
+	// complete reports that the caller has the whole stream.
+	complete atomic.Bool
 }
 
 // bind binds a stream to the software of the runner that begins it. The runner's report confirms in the background that it
@@ -31,12 +39,13 @@
 	runner := x.choice.Runner
 	x.gateway.tasks.Run("confirm software", func(ctx context.Context) {
 		defer close(b.done)
-		if runner.Software == "" {
+		if err := x.gateway.confirmIncarnation(ctx, runner); err != nil {
+			streamRecords.Add("unconfirmed", 1)
+			x.gateway.log.Emit(eventlog.OriginUnconfirmed, x.request.ID, runner.ID, runner.Software, err)
 			return
 		}
-		if err := x.gateway.confirmIncarnation(ctx, runner); err == nil {
-			b.software = runner.Software
-		}
+		b.software = runner.Software
+		x.recordOrigin(clock.Now(), b.software)
 	})
 }
 
@@ -55,6 +64,9 @@
 func (g *Gateway) confirmIncarnation(ctx context.Context, runner *fleet.Runner) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
+	if runner.Software == "" {
+		return errUnknownSoftware
+	}
 	report, err := g.runnerClient.Report(ctx, runner.ID, runner.Address)
 	if err != nil {
 		return err
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -176,6 +176,10 @@
 		g.syncedAt = requestedAt
 	}
 	g.owners.RecordSync(requestedAt)
+	g.versions.RecordSync(requestedAt)
+	for _, runner := range g.directory.All() {
+		g.versions.Record(requestedAt, runner.Service, runner.Software)
+	}
 }
 
 // watchStore applies changes until a call fails or another VM forwards them.
@@ -312,6 +316,9 @@
 func (g *Gateway) applyItem(now time.Time, item platform.Item) {
 	relevant := true
 	switch {
+	case strings.HasPrefix(item.Key, streamsPrefix):
+		// Only the VM at which a caller takes up the stream needs it, and reads it.
+		return
 	case item.Key == platform.ConfigurationKey && !item.Deleted:
 		g.applyConfiguration(item)
 	case strings.HasPrefix(item.Key, platform.RunnersPrefix):
@@ -385,6 +392,7 @@
 		return true
 	}
 	g.recordRunnerStart(now, runner)
+	g.versions.Record(now, runner.Service, runner.Software)
 	if change := g.directory.Put(now, runner); change != fleet.ChangeNone {
 		g.log.Emit(eventlog.RunnerEntryChanged, id, string(change), runner.Service, runner.Software, item.Revision)
 	}
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -51,10 +51,16 @@
 	withoutProgress int
 }
 
-func newEventRelay(c *app.RequestContext) *eventRelay {
+// newEventRelay returns the relay of a stream that begins after an event of it that the caller has, or at its first event if
+// that is "".
+func newEventRelay(c *app.RequestContext, after string) *eventRelay {
 	writer := resp.NewChunkedBodyWriter(&c.Response, c.GetWriter())
 	c.Response.HijackWriter(writer)
-	return &eventRelay{conn: c.GetConn(), writer: writer, lastID: -1}
+	r := &eventRelay{conn: c.GetConn(), writer: writer, lastID: -1}
+	if id, err := strconv.ParseInt(after, 10, 64); err == nil {
+		r.lastID = id
+	}
+	return r
 }
 
 // copy relays events until the stream ends. It skips events that an earlier attempt relayed. EndsWithConnection means that
