Test take-ups of streams whose origin is not known or whose runners have left

With processes: the store away before and after, returned from an older copy, and the version's runners gone are refused within a second.

--- a/integration/gateway_order_test.go
+++ b/integration/gateway_order_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/zinniaroute/zinniaroute/standin/caller"
+	"github.com/zinniaroute/zinniaroute/standin/metadata"
 	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
 	"github.com/zinniaroute/zinniaroute/standin/proxy"
 	"github.com/zinniaroute/zinniaroute/transport/group"
@@ -195,6 +196,93 @@
 	}
 }
 
+func TestTakenUpStreamGoesOnThoughItsVersionIsNotKnownOrGone(t *testing.T) {
+	var earlier metadata.Copy
+	tests := []struct {
+		name     string
+		versions []string
+		// before runs before the stream begins, and between when it has broken off.
+		before, between func(d *deployment)
+		want            int
+	}{
+		{"known", []string{"v1", "v2"}, nil, nil, http.StatusOK},
+		{"the store was away when it began", []string{"v1", "v2"}, cutStore, nil, http.StatusServiceUnavailable},
+		{"the store is away", []string{"v1", "v2"}, nil, cutStore, http.StatusServiceUnavailable},
+		{"the store is away, one version is in service", []string{"v1"}, nil, cutStore, http.StatusOK},
+		{
+			"the store returns from an older copy",
+			[]string{"v1", "v2"},
+			func(d *deployment) { earlier = d.store.Copy() },
+			func(d *deployment) { d.store.ReturnFrom(earlier) },
+			http.StatusServiceUnavailable,
+		},
+		{"the runners of the version have left", []string{"v1", "v2"}, nil, func(d *deployment) {
+			removeRunners(d, "v1")
+		}, http.StatusServiceUnavailable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			versionedRunners(d, 30, 50*time.Millisecond, test.versions...)
+			d.configure(2, 2000)
+			for _, name := range []string{"vm-1", "vm-2"} {
+				d.addGateway(name)
+			}
+			waitUntil(t, "vm-1 serves", func() bool { return d.send("vm-1", resumePath, "large").status == 200 })
+			// Longer than a route's timeout and the margin, so that the VMs know which versions were in service.
+			group.Sleep(t.Context(), 5*time.Second)
+			if test.before != nil {
+				test.before(d)
+			}
+			s := beginAtVersion(d, "v1")
+			if test.between != nil {
+				test.between(d)
+			}
+			takenUpAt := time.Now()
+			s.receive(t.Context(), d.gateways["vm-2"], "large")
+			assert.Check(t, s.statuses[len(s.statuses)-1] == test.want, "statuses %v, want %d", s.statuses, test.want)
+			assert.Check(t, len(s.software) == 1, "events of versions %v", s.software)
+			if test.want != http.StatusOK {
+				assert.Check(t, time.Since(takenUpAt) < time.Second, "refused after %v", time.Since(takenUpAt))
+			}
+		})
+	}
+}
+
+func cutStore(d *deployment) {
+	for _, link := range d.storeLinks {
+		link.Set(proxy.Faults{Disconnect: true})
+	}
+}
+
+// removeRunners lets the runners of a version leave, and waits until the gateways know it.
+func removeRunners(d *deployment, software string) {
+	for id := range d.runners {
+		if strings.HasPrefix(id, software+"-") {
+			d.heartbeats[id]()
+			d.store.Remove(caller.RunnerKeys + id)
+		}
+	}
+	group.Sleep(context.Background(), 2*time.Second)
+}
+
+// beginAtVersion begins streams at vm-1 until one begins at a version, and breaks it off after a second.
+func beginAtVersion(d *deployment, software string) *stream {
+	d.t.Helper()
+	for range 40 {
+		ctx, cancel := context.WithTimeout(d.t.Context(), time.Second)
+		s := &stream{}
+		s.receive(ctx, d.gateways["vm-1"], "large")
+		cancel()
+		if slices.Equal(s.software, []string{software}) {
+			return s
+		}
+	}
+	d.t.Fatalf("no stream began at %s", software)
+	return nil
+}
+
 func statusesOf(streams []*stream) map[string]int {
 	counts := make(map[string]int)
 	for _, s := range streams {
