Let the soak take streams up while runners change versions and all gateways are killed

Runners of the model service start again with another version of their software, callers leave resumable streams early and take them up at other gateways, and all gateways are killed at once now and then, but not while the store has a fault. No stream may hold events of two versions.

--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -43,6 +43,10 @@
 	parts     atomic.Int64
 
 	limits soakLimits
+	// storeDown reports that the store has a fault, and storeDisturbed that it or a gateway's link to it has one.
+	storeDown, storeDisturbed bool
+	// streams are the streams that callers took up.
+	streams []*stream
 
 	mu sync.Mutex
 	// copies holds copies of the store, the latest last, from which it may return.
@@ -54,7 +58,8 @@
 
 // TestSoak checks the guarantees to callers under random faults, one after another and overlapping. Gateways are
 // killed, stopped, paused and restarted; the store is down or slow, loses responses, or returns from an older copy; links are cut, frozen or slow;
-// runners truncate streams, fail requests, crash on one of them, and name limits; configurations change.
+// runners truncate streams, fail requests, crash on one of them, name limits, and start again with another version of their software;
+// configurations change.
 func TestSoak(t *testing.T) {
 	portsTaken.Add(int32(*soakSkippedPorts))
 	for i := range *soakSeeds {
@@ -95,8 +100,10 @@
 	if s.sendsPart {
 		callers.Go(func() { s.sendCrashingParts(ctx, vms, rand.New(rand.NewPCG(seed, 3<<32))) })
 	}
+	callers.Go(func() { s.upgradeRunners(ctx, rand.New(rand.NewPCG(seed, 5<<32))) })
+	callers.Go(func() { s.takeUpStreams(ctx, vms, rand.New(rand.NewPCG(seed, 6<<32))) })
 	callers.Go(func() { s.nameLimits(ctx, rand.New(rand.NewPCG(seed, 4<<32))) })
-	returns := rand.New(rand.NewPCG(seed, 1<<32))
+	returns, kills := rand.New(rand.NewPCG(seed, 1<<32)), rand.New(rand.NewPCG(seed, 7<<32))
 	for until := time.Now().Add(*soakDuration); time.Now().Before(until); {
 		s.copies = append(s.copies, s.store.Copy())
 		s.injectFault(vms)
@@ -104,6 +111,10 @@
 			// The copies are half a second apart on average.
 			s.store.ReturnFrom(s.copies[max(0, len(s.copies)-1-returns.IntN(10))])
 		}
+		// Without the store, gateways that start have no configuration.
+		if kills.IntN(20) == 0 && !s.storeDisturbed {
+			s.killAll(vms)
+		}
 		group.Sleep(ctx, time.Duration(100+s.random.IntN(900))*time.Millisecond)
 	}
 	s.endFaults(vms)
@@ -115,6 +126,7 @@
 	s.checkQuarantine(vms)
 	s.checkGuarantees()
 	s.checkLimits()
+	s.checkStreams()
 }
 
 // crashingBody is the body of the request that crashes each runner that runs it.
@@ -206,19 +218,23 @@
 	case 3:
 		s.processes[vm].signal(syscall.SIGHUP)
 	case 4:
+		s.storeDown, s.storeDisturbed = true, true
 		s.store.Faults.Set(fault.Faults{Down: s.random.IntN(2) == 0, DropAnswers: s.random.IntN(4)})
 	case 5:
 		s.store.Faults.Set(fault.Faults{})
+		s.storeDown = false
 	case 6:
 		s.runners[runner].TruncateAfter(s.random.IntN(4))
 	case 7:
 		s.runners[runner].FailRequests(s.random.IntN(3))
 	case 8:
+		s.storeDisturbed = true
 		s.storeLinks[vm].Set(s.randomLinkFaults())
 	case 9:
 		s.runnerLinks[runner].Set(s.randomLinkFaults())
 	case 10:
 		s.endLinkFaults()
+		s.storeDisturbed = s.storeDown
 	default:
 		s.version++
 		s.configure(s.version, 10_000, plainRoute(fmt.Sprint("v", s.version)))
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -168,7 +168,7 @@
 func (r *Runner) Upgrade(software string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.software, r.startedAtMS = software, time.Now().UnixMilli()
+	r.software, r.startedAtMS, r.sequence = software, time.Now().UnixMilli(), 0
 }
 
 // SetDraining makes Entry return the state draining.
