Do not reject a request that waited when a permit is to be had at once

A request that had waited longer than its target, for an adapter or behind prompts, was rejected if its runner had named a limit, though no wait for a permit was left: the time that it could still wait was negative. It is zero now. A request is also rejected at once where it would wait longer than permits are granted ahead, in place of after four refusals by the aggregator, and Retry-After is the time of the next permit, not an earlier one. TestRequestsToEndpointsWithALimit failed before: a time to return of 0.45 s where the next permit comes after 0.7 s.

--- a/state/admission/admission.go
+++ b/state/admission/admission.go
@@ -56,7 +56,7 @@
 func Decide(now time.Time, r *fleet.Request, p Prediction) Decision {
 	limit, waited := maxLatency(r), now.Sub(r.ArrivedAt)
 	if p.PermitWait > 0 && waited+p.PermitWait > limit {
-		return Decision{Reason: LimitReached, RetryAfter: max(minRetryAfter, p.PermitWait-limit/2)}
+		return Decision{Reason: LimitReached, RetryAfter: max(minRetryAfter, p.PermitWait)}
 	}
 	if r.Kind != routes.Stream {
 		return Decision{Admitted: true}
@@ -74,9 +74,10 @@
 // LimitReached is the reason for the rejection of a request that would wait too long for a permit.
 const LimitReached = "the endpoint has named a limit, which other requests use up"
 
-// PermitTimeout returns how long a request may wait for the permit to an endpoint that has named a limit.
+// PermitTimeout returns how long a request may wait for the permit to an endpoint that has named a limit. It is never
+// negative.
 func PermitTimeout(now time.Time, r *fleet.Request) time.Duration {
-	return maxLatency(r) - now.Sub(r.ArrivedAt)
+	return max(0, maxLatency(r)-now.Sub(r.ArrivedAt))
 }
 
 // maxLatency returns the longest time to first byte with which a request is still sent.
--- a/state/admission/admission_test.go
+++ b/state/admission/admission_test.go
@@ -73,3 +73,27 @@
 	assert.Assert(t, maxSeen <= maxBacklogTokens, "%.0f tokens of backlog", maxSeen)
 	assert.Assert(t, admitted >= 30, "%d admitted in ten seconds", admitted)
 }
+
+func TestRequestsToEndpointsWithALimit(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	tests := []struct {
+		name             string
+		kind             routes.Kind
+		waited, wait     time.Duration
+		admitted         bool
+		retryAfter, left time.Duration
+	}{
+		{"permit at once", routes.Safe, 0, 0, true, 0, 500 * time.Millisecond},
+		{"permit in time", routes.Safe, 100 * time.Millisecond, 300 * time.Millisecond, true, 0, 400 * time.Millisecond},
+		{"permit too late", routes.Safe, 0, 700 * time.Millisecond, false, 700 * time.Millisecond, 500 * time.Millisecond},
+		{"permit too late for a stream", routes.Stream, 0, 700 * time.Millisecond, false, 700 * time.Millisecond, 500 * time.Millisecond},
+		{"waited too long, permit at once", routes.Safe, time.Second, 0, true, 0, 0},
+	}
+	for _, test := range tests {
+		r := &fleet.Request{Kind: test.kind, ArrivedAt: now.Add(-test.waited), TargetLatency: 400 * time.Millisecond}
+		d := Decide(now, r, Prediction{Wait: test.wait, PermitWait: test.wait})
+		assert.Equal(t, d.Admitted, test.admitted, test.name)
+		assert.Equal(t, d.RetryAfter, test.retryAfter, test.name)
+		assert.Equal(t, PermitTimeout(now, r), test.left, test.name)
+	}
+}
--- a/state/limits/permits.go
+++ b/state/limits/permits.go
@@ -11,8 +11,8 @@
 	// reducedShare is the part of the rate that a VM grants while another one may grant too. The platform tolerates one and
 	// a half times the limit.
 	reducedShare = 0.5
-	// maxWait is the longest time for which a permit is granted ahead. Such permits remain in use when another VM grants.
-	maxWait = 500 * time.Millisecond
+	// MaxWait is the longest time for which a permit is granted ahead. Such permits remain in use when another VM grants.
+	MaxWait = 500 * time.Millisecond
 	// maxRunners is the number of runners above which those without a recent permit are dropped.
 	maxRunners = 1024
 )
@@ -40,7 +40,7 @@
 func (p *Permits) Take(now time.Time, runner string, perSecond float64, reduced bool, within time.Duration) Grant {
 	interval := interval(perSecond, reduced)
 	wait := p.wait(now, runner, interval)
-	if wait > min(within, maxWait) {
+	if wait > min(within, MaxWait) {
 		return Grant{Wait: wait, Next: wait}
 	}
 	if len(p.latest) >= maxRunners {
--- a/transport/gateway/limits.go
+++ b/transport/gateway/limits.go
@@ -22,8 +22,6 @@
 	permitCallTimeout = 150 * time.Millisecond
 	// permitRetryInterval is the time until the next call after one that the aggregator did not answer.
 	permitRetryInterval = 100 * time.Millisecond
-	// retriedPermitTimeout is the longest wait for a permit of a request that has run. Callers notice a longer pause.
-	retriedPermitTimeout = 500 * time.Millisecond
 )
 
 // limitProbeInterval is the time after the latest answer of a runner that has named a limit until a request is sent there to
@@ -135,7 +133,7 @@
 		return true
 	}
 	grant, err := g.requestPermit(ctx, vm.PermitRequest{
-		Runner: runner, PerSecond: perSecond, Within: min(permitTimeout(now, x), x.request.Deadline.Sub(now)),
+		Runner: runner, PerSecond: perSecond, Within: permitTimeout(now, x),
 	})
 	if err != nil {
 		limitRecords.Add("unanswered", 1)
@@ -153,12 +151,14 @@
 	return pause(ctx, nil, grant.Wait)
 }
 
-// permitTimeout returns how long a request may wait for a permit.
+// permitTimeout returns how long a request may wait for a permit. One that has run before waits as long as a permit is
+// granted ahead.
 func permitTimeout(now time.Time, x *exchange) time.Duration {
+	timeout := min(limits.MaxWait, x.request.Deadline.Sub(now))
 	if x.machine.MayHaveRun() {
-		return retriedPermitTimeout
+		return timeout
 	}
-	return admission.PermitTimeout(now, &x.request)
+	return min(timeout, admission.PermitTimeout(now, &x.request))
 }
 
 func (g *Gateway) setPermitAt(runner string, at time.Time) {
