Skip events before Last-Event-Id on resumable routes only, and say why a take-up is refused

A caller of a route that cannot be resumed which sends Last-Event-Id gets the runner's whole body again. The refusal of a caller that takes up a stream names the reason, and that the stream begins again without Last-Event-Id. Found by reading; no run showed it.

--- a/integration/gateway_order_test.go
+++ b/integration/gateway_order_test.go
@@ -173,6 +173,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			d := newDeployment(t)
 			versionedRunners(d, 30, 100*time.Millisecond, "v1", "v1.1", "v1.2")
 			gateways := []string{"vm-1", "vm-2", "vm-3"}
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -262,7 +262,11 @@
 func (x *exchange) relayEvents(ctx context.Context) lifecycle.Event {
 	if x.relay == nil {
 		platform.CopyHead(&x.call.Response.Header, &x.context.Response.Header)
-		x.relay = newEventRelay(x.context, x.request.Resumption.After)
+		after := ""
+		if x.resumption {
+			after = x.request.Resumption.After
+		}
+		x.relay = newEventRelay(x.context, after)
 	}
 	err := x.relay.copy(x.call.Body(), x.call.EndsWithConnection())
 	switch {
@@ -304,6 +308,9 @@
 	case lifecycle.Refuse:
 		status = statusServiceUnavailable
 		g.writeStatus(x.context, x.request.ID, status, max(x.machine.RetryAfter(), time.Millisecond))
+		if x.resumption {
+			x.context.Response.SetBodyString(x.machine.Reason() + "; without Last-Event-Id the stream begins again\n")
+		}
 	case lifecycle.Fail:
 		status = statusBadGateway
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
