--- a/integration/engines_test.go
+++ b/integration/engines_test.go
@@ -18,6 +18,7 @@
 
 // Every model stays available while its version changes.
 func TestVersionChangeKeepsModelAvailable(t *testing.T) {
+	t.Parallel()
 	s, nodes := twoVMSystem(t, true, "--load-time", "1s")
 	var failures, answered atomic.Int64
 	ctx, cancel := context.WithCancel(context.Background())
@@ -53,6 +54,7 @@
 
 // An order that arrives twice, the second time late, does not overcommit the runner's memory.
 func TestDuplicateOrdersDoNotOvercommit(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, "kumamoto-a")
 	address := s.addEngine("engine-1", "kumamoto-a", 40_000, true)
 	proxied, setFaults := s.startFaultProxy("engine-1", address)
--- a/integration/faults_test.go
+++ b/integration/faults_test.go
@@ -174,6 +174,7 @@
 // A lease holder that is paused until its lease has expired, and then resumes as if it still held it, does not
 // overcommit memory.
 func TestPausedLeaseHolderDoesNotOvercommit(t *testing.T) {
+	t.Parallel()
 	for _, fenced := range []bool{true, false} {
 		t.Run(fmt.Sprintf("fenced=%t", fenced), func(t *testing.T) {
 			s, nodes := twoVMSystem(t, fenced)
@@ -227,6 +228,7 @@
 // While the key-value service is down for longer than every lease, each domain keeps serving requests, and the last
 // lease holder keeps ordering fenced engines.
 func TestKeyValueServiceOutageLongerThanLeases(t *testing.T) {
+	t.Parallel()
 	s, nodes := twoVMSystem(t, true)
 	s.put(s.keyValueAddress, "/standin/faults", []byte(`{"down":true}`))
 	eventually(t, 20*time.Second, func() error {
--- a/integration/gateway_crash_test.go
+++ b/integration/gateway_crash_test.go
@@ -83,6 +83,7 @@
 }
 
 func TestRequestKeepsReachingRunnersAfterItCrashedThree(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		crash modelrunner.Crash
@@ -154,6 +155,7 @@
 }
 
 func TestRequestWithoutBodyFromSeveralAddressesKeepsReachingRunners(t *testing.T) {
+	t.Parallel()
 	c := crashingDeployment(t, plainService, modelrunner.Crash{Path: safePath, NewID: true})
 	for i := 0; c.lateRetries("") <= maxLateRetries && i < 42; i++ {
 		c.sendFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i/14 + 1)}), c.names[i%len(c.names)], safePath)
@@ -164,6 +166,7 @@
 }
 
 func TestRequestThatWasCompletedBeforeKeepsReachingRunners(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name, service, path, model string
 		after                      time.Duration
@@ -212,6 +215,7 @@
 }
 
 func TestRequestToPlainServiceKeepsReachingRunnersAfterItCrashedThree(t *testing.T) {
+	t.Parallel()
 	c := crashingDeployment(t, plainService, modelrunner.Crash{Body: "poison", NewID: true})
 	for i := 0; c.lateRetries("poison") <= maxLateRetries && i < 40; i++ {
 		c.sendInTurn(unsafePath, "", "poison", 5*time.Second)
@@ -222,6 +226,7 @@
 }
 
 func TestRequestKeepsReachingRunnersThatItCrashesSilently(t *testing.T) {
+	t.Parallel()
 	c := crashingDeployment(t, modelService, modelrunner.Crash{Body: "poison", Silent: true, NewID: true})
 	startedAt := time.Now()
 	for c.lateRetries("poison") <= maxLateRetries && time.Since(startedAt) < 20*time.Second {
--- a/integration/gateway_era_test.go
+++ b/integration/gateway_era_test.go
@@ -25,6 +25,7 @@
 }
 
 func TestGatewayMissesChangesAfterTheStoreReturns(t *testing.T) {
+	t.Parallel()
 	d := servingDeployment(t)
 	d.addGateway("vm-2")
 	d.waitServing("vm-2")
@@ -42,6 +43,7 @@
 
 // A runner must never get a lower fencing number than before, nor orders of two VMs without a pause between them.
 func TestFencingNumberFallsAfterTheStoreReturns(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	empty := d.store.Copy()
 	runner := d.addRunner("r1", modelService, "large")
--- a/integration/gateway_limit_test.go
+++ b/integration/gateway_limit_test.go
@@ -107,6 +107,7 @@
 }
 
 func TestRunnerGetsMoreRequestsThanItsLimitFromAllGateways(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name        string
 		limit       float64
@@ -201,6 +202,7 @@
 }
 
 func TestRequestsBeyondALimitWaitInsteadOfBeingRefused(t *testing.T) {
+	t.Parallel()
 	l := newLimitedLoad(t, 3, 1, 20)
 	l.runners["r0"].SetLimit("1")
 	l.run(limitLearningTime)
@@ -217,6 +219,7 @@
 }
 
 func TestRunnerIsHeldBackAfterItNamesNoLimit(t *testing.T) {
+	t.Parallel()
 	l := newLimitedLoad(t, 3, 1, 20)
 	for _, limit := range []string{"0", "0.5", "few"} {
 		l.runners["r0"].SetLimit(limit)
--- a/integration/gateway_order_test.go
+++ b/integration/gateway_order_test.go
@@ -114,6 +114,7 @@
 }
 
 func TestStreamGoesOnAtAnotherSoftwareVersion(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	versionedRunners(d, 8, 20*time.Millisecond, "v1", "v1.1", "v1.2")
 	d.addGateway("vm-1")
--- a/integration/gateway_part_test.go
+++ b/integration/gateway_part_test.go
@@ -101,6 +101,7 @@
 }
 
 func TestRequestsWithOnePromptPartKeepCrashingRunners(t *testing.T) {
+	t.Parallel()
 	d, names := partDeployment(t)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
