--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -167,7 +167,7 @@
 	}
 	if x.route.Kind == routes.Stream && header.StatusCode() == statusOK {
 		x.recordFirstByte()
-		if !x.fits(ctx) {
+		if !x.confirmStream(ctx) {
 			return lifecycle.Lost{}
 		}
 		return lifecycle.Answered{}
@@ -188,8 +188,9 @@
 	return lifecycle.Answered{Failure: failure || x.relay != nil}
 }
 
-// fits reports whether the stream that a runner begins to send fits what the caller has of it. It ends the call if not.
-func (x *exchange) fits(ctx context.Context) bool {
+// confirmStream reports whether a stream that begins to arrive may be relayed. It ends the call if the caller has events of
+// the stream and the runner may have another version of the software than the one that sent them.
+func (x *exchange) confirmStream(ctx context.Context) bool {
 	if !x.route.Resumable {
 		return true
 	}
--- a/transport/gateway/limits.go
+++ b/transport/gateway/limits.go
@@ -22,12 +22,11 @@
 	permitCallTimeout = 150 * time.Millisecond
 	// permitRetryInterval is the time until the next call after one that the aggregator did not answer.
 	permitRetryInterval = 100 * time.Millisecond
+	// limitProbeInterval is the time after the latest answer of a runner that has named a limit until a request is sent there
+	// to find out whether the limit is over.
+	limitProbeInterval = 4 * time.Second
 )
 
-// limitProbeInterval is the time after the latest answer of a runner that has named a limit until a request is sent there to
-// find out whether the limit is over.
-const limitProbeInterval = 4 * time.Second
-
 var errNoAggregator = errors.New("no VM is known that grants permits")
 
 // recordLimit records the limit that the head of an answer shows.
