--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -22,6 +22,8 @@
 
 	headerSeal  = "X-Zinniaroute-Response-Seal"
 	headerLimit = "Server-Limit"
+	// headerLeaving is set in the answers of a runner that leaves.
+	headerLeaving = "Server-Leaving"
 )
 
 // Request describes a request of a caller.
@@ -72,6 +74,9 @@
 // ResponseSeal returns the signature of the runner that sent the response, or "" if there is none.
 func ResponseSeal(response *http.Response) string { return response.Header.Get(headerSeal) }
 
+// Leaving reports whether the runner said in its response that it leaves.
+func Leaving(response *http.Response) bool { return response.Header.Get(headerLeaving) != "" }
+
 // Limit returns the limit of requests a second that the runner named in its response, or "" if it named none.
 func Limit(response *http.Response) string { return response.Header.Get(headerLimit) }
 
--- a/standin/modelrunner/limit.go
+++ b/standin/modelrunner/limit.go
@@ -20,6 +20,10 @@
 type Arrival struct {
 	Attempt string
 	At      time.Time
+	// Incarnation is the time of the runner's start in Unix milliseconds.
+	Incarnation int64
+	// Rejected reports that the runner turned the request away because it rests.
+	Rejected bool
 }
 
 // Arrivals returns the requests that arrived, also those that the runner did not run, in order. Reports and orders do not
@@ -34,7 +38,9 @@
 func (r *Runner) recordArrival(c *app.RequestContext) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, Arrival{Attempt: string(c.GetHeader(headerAttempt)), At: time.Now()})
+	r.arrivals = append(r.arrivals, Arrival{
+		Attempt: string(c.GetHeader(headerAttempt)), At: time.Now(), Incarnation: r.startedAtMS,
+	})
 	if r.limit != "" {
 		c.Header(headerLimit, r.limit)
 	}
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -118,6 +118,8 @@
 	unsealedAnswers int
 	downUntil       time.Time
 	limit           string
+	leaving         []string
+	rest            Rest
 	arrivals        []Arrival
 	// crashed is closed when the present incarnation crashes.
 	crashed chan struct{}
@@ -231,6 +233,7 @@
 }
 
 func (r *Runner) report(_ context.Context, c *app.RequestContext) {
+	r.announceLeaving(c)
 	if r.rejectMisdirected(c) {
 		return
 	}
@@ -251,6 +254,7 @@
 }
 
 func (r *Runner) order(_ context.Context, c *app.RequestContext) {
+	r.announceLeaving(c)
 	if r.rejectMisdirected(c) {
 		return
 	}
@@ -357,7 +361,8 @@
 	// For a path without a handler, the HTTP library presets status 404.
 	c.SetStatusCode(statusOK)
 	r.recordArrival(c)
-	if r.rejectMisdirected(c) {
+	r.announceLeaving(c)
+	if r.rejectMisdirected(c) || r.rejectResting(c) {
 		return
 	}
 	if r.endsRun(c) {
