Send nothing to runners that say in their answers that they leave, or that ask for a rest

Cause: no code read Server-Leaving, nor the Retry-After of a runner's answer; after a 503 there was only a backoff of 100 ms.

Leaving: the directory keeps the departures of runners, by runner and incarnation, from their entries and from any of their answers, reports among them. VMs exchange them; the merge is a maximum. An entry that says ready, also one that comes back after an outage or from an older copy of the store, changes nothing; an entry of a later incarnation does. The incarnation is confirmed by the runner's report, since it may have started again since its entry was read. Requests that wait for an adapter or a permit are checked again before they are sent.

Rest: after 503 or 429 with a positive Retry-After (429 as in RFC 6585) a VM sends the runner no request, report or order for that time, five minutes at most; the longest of several holds. VMs come back spread over a quarter of the rest, a second at most, with one request at a time until an answer begins. It is not told to other VMs: the runner turns away that VM. Where all endpoints of a service drain or rest, requests are refused at once with the time until the first rest ends.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -294,6 +294,16 @@
 		[]string{"request"},
 		"Nothing; the caller retries on another VM.",
 	}
+	RunnerLeaves = Event{
+		525, logrus.InfoLevel, "a runner says in its answers that it leaves; it gets no new requests",
+		[]string{"request", "runner", "incarnation"},
+		"Nothing.",
+	}
+	RunnerRests = Event{
+		526, logrus.InfoLevel, "a runner turned a request away and asks for a rest; this VM sends it nothing until then",
+		[]string{"request", "runner", "restMs"},
+		"Check the runner's load if it recurs.",
+	}
 	SettingsReloaded = Event{
 		104, logrus.InfoLevel, "settings reloaded",
 		[]string{"changed", "error"},
@@ -337,7 +347,7 @@
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined,
 		RequestServed, RequestNotServed, LogLinesDropped,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
-		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, OriginsNotStored, OriginUnconfirmed, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable,
+		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, OriginsNotStored, OriginUnconfirmed, RunnerLeaves, RunnerRests, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- /dev/null
+++ b/integration/soak_departures_test.go
@@ -0,0 +1,58 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
+	"github.com/zinniaroute/zinniaroute/transport/group"
+)
+
+// soakRest is the rest that runners of the soak ask for.
+const soakRest = 2 * time.Second
+
+// departRunners lets random runners leave and start again, or rest, one after the other, until the context ends.
+func (s *soak) departRunners(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		runner := s.runners[[]string{"r1", "r2", "r3", "p1", "p2", "p3"}[random.IntN(6)]]
+		if random.IntN(2) == 0 {
+			runner.SetRest(modelrunner.Rest{
+				Until: time.Now().Add(soakRest), RetryAfter: []string{fmt.Sprint(soakRest.Seconds())},
+			})
+			group.Sleep(ctx, soakRest)
+			continue
+		}
+		runner.SetLeaving("1")
+		group.Sleep(ctx, time.Duration(2500+random.IntN(2500))*time.Millisecond)
+		runner.SetLeaving()
+		runner.Upgrade("v1")
+	}
+}
+
+// disturbedBetween reports whether a gateway was restarted or frozen in a period.
+func (l *soakLimits) disturbedBetween(vm string, from, to time.Time) bool {
+	return slices.ContainsFunc(l.disturbances, func(d disturbance) bool {
+		return d.vm == vm && d.from.Before(to) && d.to.After(from)
+	})
+}
+
+// checkDepartures checks that runners which said that they leave, or asked for a rest, got no requests from gateways that
+// had passed this on.
+func (s *soak) checkDepartures() {
+	s.limits.mu.Lock()
+	defer s.limits.mu.Unlock()
+	for id, runner := range s.runners {
+		late := s.observer.lateRequests(runner, s.limits.disturbedBetween)
+		assert.Check(s.t, len(late) == 0, "%d requests reached %s late after it said that it leaves", len(late), id)
+		for _, attempt := range late {
+			s.t.Logf("%s reached %s, sent to %s at %v", attempt, id, s.observer.sent[attempt].vm, s.observer.sent[attempt].at)
+		}
+		most := s.observer.mostInRest(runner, soakRest, s.limits.disturbedBetween)
+		assert.Check(s.t, most <= maxRequestsInRest, "%s got %d requests from one VM in its rest", id, most)
+	}
+}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -42,7 +42,8 @@
 	sendsPart bool
 	parts     atomic.Int64
 
-	limits soakLimits
+	limits   soakLimits
+	observer *observer
 	// storeDown reports that the store has a fault, and storeDisturbed that it or a gateway's link to it has one.
 	storeDown, storeDisturbed bool
 	// streams are the streams that callers took up.
@@ -58,7 +59,8 @@
 
 // TestSoak checks the guarantees to callers under random faults, one after another and overlapping. Gateways are
 // killed, stopped, paused and restarted; the store is down or slow, loses responses, or returns from an older copy; links are cut, frozen or slow;
-// runners truncate streams, fail requests, crash on one of them, name limits, and start again with another version of their software;
+// runners truncate streams, fail requests, crash on one of them, name limits, leave, rest, and start again with another
+// version of their software;
 // configurations change.
 func TestSoak(t *testing.T) {
 	portsTaken.Add(int32(*soakSkippedPorts))
@@ -72,6 +74,7 @@
 	t.Helper()
 	s := &soak{
 		deployment: newDeployment(t), random: rand.New(rand.NewPCG(seed, 0)), version: 1, rejected: make(map[string]bool),
+		observer: newObserver(),
 	}
 	crash := modelrunner.Crash{
 		Body: crashingBody, After: time.Duration(s.random.IntN(2500)) * time.Millisecond, Silent: s.random.IntN(3) == 0,
@@ -103,6 +106,7 @@
 	callers.Go(func() { s.upgradeRunners(ctx, rand.New(rand.NewPCG(seed, 5<<32))) })
 	callers.Go(func() { s.takeUpStreams(ctx, vms, rand.New(rand.NewPCG(seed, 6<<32))) })
 	callers.Go(func() { s.nameLimits(ctx, rand.New(rand.NewPCG(seed, 4<<32))) })
+	callers.Go(func() { s.departRunners(ctx, rand.New(rand.NewPCG(seed, 8<<32))) })
 	returns, kills := rand.New(rand.NewPCG(seed, 1<<32)), rand.New(rand.NewPCG(seed, 7<<32))
 	for until := time.Now().Add(*soakDuration); time.Now().Before(until); {
 		s.copies = append(s.copies, s.store.Copy())
@@ -127,6 +131,7 @@
 	s.checkGuarantees()
 	s.checkLimits()
 	s.checkStreams()
+	s.checkDepartures()
 }
 
 // crashingBody is the body of the request that crashes each runner that runs it.
@@ -296,8 +301,10 @@
 		request := newRequest(context.Background(), s.gateways[vm], p.path, p.model, []byte("{}"))
 		attempt := request.Header.Get(caller.AttemptHeader)
 		s.recordSender(attempt, vm)
+		s.observer.recordSent(attempt, vm)
 		response, err := testClient.Do(request)
 		if err == nil {
+			s.observer.recordAnswer(attempt, response)
 			s.recordTold(vm, response)
 			s.recordResponse(attempt, p.model, response)
 		}
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -52,6 +52,12 @@
 	Next time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
+// Departure says that a runner leaves in one incarnation.
+type Departure struct {
+	Runner      string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint"`
+}
+
 // Report is the state that a VM sends to the aggregator.
 type Report struct {
 	VM            string                           `cbor:"1,keyasint"`
@@ -76,6 +82,8 @@
 	PackedViews bool `cbor:"12,keyasint,omitempty"`
 	// Limits holds the limits that runners have named in answers to the VM.
 	Limits []Limit `cbor:"15,keyasint,omitempty"`
+	// Departures holds the runners that leave, as far as the VM knows.
+	Departures []Departure `cbor:"16,keyasint,omitempty"`
 }
 
 // Summary is the aggregator's answer to a VM.
@@ -105,6 +113,8 @@
 	SentClearances uint64                 `cbor:"14,keyasint,omitempty"`
 	// Limits holds the limits that runners have named in answers to any VM.
 	Limits []Limit `cbor:"15,keyasint,omitempty"`
+	// Departures holds the runners that leave, as far as any VM knows.
+	Departures []Departure `cbor:"16,keyasint,omitempty"`
 }
 
 // AdapterRequest asks the owner of a runner to load an adapter on it.
--- a/state/dispatch/candidate.go
+++ b/state/dispatch/candidate.go
@@ -128,6 +128,8 @@
 		return "it is draining"
 	case slices.Contains(excluded, runner.ID):
 		return "it was already tried"
+	case s.Resting(now, runner.ID):
+		return "it has asked for a rest"
 	case r.Unit.Model != "" && !runner.Holdings.Has(fleet.Unit{Model: r.Unit.Model}):
 		return "it does not hold the model"
 	case r.Unit.Adapter == "" || runner.Holdings.Has(r.Unit):
@@ -147,6 +149,8 @@
 	switch {
 	case l.unresponsive(now):
 		return "it is unresponsive"
+	case l.returning && len(l.awaitingFirstByte) > 0:
+		return "it returns from a rest and has a request"
 	case now.Before(l.atCapacityUntil):
 		return "it declined for lack of capacity a moment ago"
 	case s.isPartitioned(now, runner.Domain):
--- a/state/dispatch/endpoint.go
+++ b/state/dispatch/endpoint.go
@@ -118,6 +118,10 @@
 	// awaitingFirstByte holds the requests whose answers have not begun.
 	awaitingFirstByte []*InFlight
 	limit             Limit
+	// restUntil is the end of the rest that the endpoint asked for. returning reports that no answer has begun since then, so
+	// that the endpoint gets one request at a time.
+	restUntil time.Time
+	returning bool
 	// adapterBackoffUntil is the end of the backoff after the runner's owner failed to load an adapter.
 	adapterBackoffUntil time.Time
 }
--- /dev/null
+++ b/state/dispatch/rest.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/zinniaroute/zinniaroute/state/fleet"
+)
+
+const (
+	// maxRest bounds the rest that an endpoint may ask for, so that one answer does not take it out of service for good.
+	maxRest = 5 * time.Minute
+	// maxRestSpread bounds the time after a rest over which VMs return to the endpoint, and restSpread is that time as a part
+	// of the rest.
+	maxRestSpread = time.Second
+	restSpread    = 0.25
+)
+
+// RecordRest records that an endpoint turned a request away and wants no other from this VM for a time. A rest that was
+// asked for before stays in force. The fraction, from 0 to 1, is this VM's place among those that return one after another.
+func (s *Scheduler) RecordRest(now time.Time, runner string, rest time.Duration, fraction float64) {
+	if rest <= 0 {
+		return
+	}
+	rest = min(rest, maxRest)
+	spread := fraction * min(maxRestSpread.Seconds(), restSpread*rest.Seconds())
+	until := now.Add(rest + time.Duration(spread*float64(time.Second)))
+	if l := s.endpoint(runner); until.After(l.restUntil) {
+		l.restUntil, l.returning = until, true
+	}
+}
+
+// RecordRestart records that an endpoint has started again, which ends its rest.
+func (s *Scheduler) RecordRestart(runner string) {
+	if l := s.endpoints[runner]; l != nil {
+		l.restUntil, l.returning = time.Time{}, false
+	}
+}
+
+// Resting reports whether an endpoint has asked for a rest that is not over.
+func (s *Scheduler) Resting(now time.Time, runner string) bool {
+	l := s.endpoints[runner]
+	return l != nil && now.Before(l.restUntil)
+}
+
+// Unavailable reports whether each of the endpoints drains or rests, so that a request need not wait for a model to be
+// loaded. It returns the earliest end of a rest, or zero if there is none.
+func (s *Scheduler) Unavailable(now time.Time, runners []*fleet.Runner) (time.Time, bool) {
+	var earliest time.Time
+	for _, runner := range runners {
+		switch {
+		case runner.Draining:
+		case !s.Resting(now, runner.ID):
+			return time.Time{}, false
+		default:
+			if until := s.endpoints[runner.ID].restUntil; earliest.IsZero() || until.Before(earliest) {
+				earliest = until
+			}
+		}
+	}
+	return earliest, true
+}
+
+// Eligible reports whether an endpoint that was chosen a while ago can still take a request.
+func (s *Scheduler) Eligible(now time.Time, r *fleet.Request, runner *fleet.Runner, excluded []string) bool {
+	return runner != nil && s.ineligibleReason(now, r, runner, excluded) == ""
+}
--- a/state/dispatch/scheduler.go
+++ b/state/dispatch/scheduler.go
@@ -290,6 +290,7 @@
 	l.awaitingFirstByte = slices.DeleteFunc(l.awaitingFirstByte, func(w *InFlight) bool { return w == t })
 	l.pending[t.priority] -= t.scaledTokens
 	l.timeouts, l.lastFirstByteAt = 0, now
+	l.returning = l.returning && now.Before(l.restUntil)
 	l.recordLatency(now, now.Sub(t.sentAt), t.predictedWait)
 	if t.unqueued && t.prefillTokens >= minSlowdownSampleTokens {
 		s.recordSlowdown(t.model, t.prefillTokens, now.Sub(t.sentAt))
--- a/state/dispatch/snapshot.go
+++ b/state/dispatch/snapshot.go
@@ -34,6 +34,8 @@
 	LastFirstByteAt     time.Time           `json:"began,omitzero"`
 	AdapterBackoffUntil time.Time           `json:"unorderedUntil,omitzero"`
 	Limit               Limit               `json:"limit,omitzero"`
+	RestUntil           time.Time           `json:"restUntil,omitzero"`
+	Returning           bool                `json:"returning,omitempty"`
 	AwaitingFirstByte   []InFlightSnapshot  `json:"waiting,omitempty"`
 }
 
@@ -73,7 +75,7 @@
 		LogLatencyRatio: decay.After(l.logLatencyRatio, now.Sub(l.logLatencyRatioAt), latencyRatioHalfLife),
 		AtCapacityUntil: l.atCapacityUntil, BackoffUntil: l.backoffUntil, Timeouts: l.timeouts,
 		LastFirstByteAt: l.lastFirstByteAt, AdapterBackoffUntil: l.adapterBackoffUntil,
-		Limit: l.limit,
+		Limit: l.limit, RestUntil: l.restUntil, Returning: l.returning,
 	}
 	for _, t := range l.awaitingFirstByte {
 		s.AwaitingFirstByte = append(s.AwaitingFirstByte, InFlightSnapshot{SentAt: t.sentAt, PredictedWait: t.predictedWait})
@@ -100,7 +102,7 @@
 		failureAverage: s.FailureRate, failureAverageAt: at, logLatencyRatio: s.LogLatencyRatio, logLatencyRatioAt: at,
 		atCapacityUntil: s.AtCapacityUntil, backoffUntil: s.BackoffUntil, timeouts: s.Timeouts,
 		lastFirstByteAt: s.LastFirstByteAt, adapterBackoffUntil: s.AdapterBackoffUntil,
-		limit: s.Limit,
+		limit: s.Limit, restUntil: s.RestUntil, returning: s.Returning,
 	}
 	for _, t := range s.AwaitingFirstByte {
 		l.awaitingFirstByte = append(l.awaitingFirstByte, &InFlight{sentAt: t.SentAt, predictedWait: t.PredictedWait})
--- a/state/fleet/directory.go
+++ b/state/fleet/directory.go
@@ -11,11 +11,15 @@
 	runners map[string]*Runner
 	// missingUntil holds the runners that a listing after an outage lacked, with the time until which they stay listed.
 	missingUntil map[string]time.Time
+	// departures holds the runners that leave, by their entries or by their answers to any VM.
+	departures *Departures
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{runners: make(map[string]*Runner), missingUntil: make(map[string]time.Time)}
+	return &Directory{
+		runners: make(map[string]*Runner), missingUntil: make(map[string]time.Time), departures: NewDepartures(),
+	}
 }
 
 // Change is the effect of an entry on the directory. Its values appear in logs.
@@ -38,6 +42,12 @@
 func (d *Directory) Put(now time.Time, runner Runner) Change {
 	delete(d.missingUntil, runner.ID)
 	runner.LastSeen, runner.HoldingsAt = now, now.Add(-maxEntryAge)
+	if runner.Draining {
+		d.departures.Record(now, Departure{runner.ID, runner.Incarnation})
+	}
+	// A store that returned from an older copy may have lost that the runner drains, and some runners only say so in their
+	// answers.
+	runner.Draining = d.departures.Includes(runner.ID, runner.Incarnation)
 	old := d.runners[runner.ID]
 	if old == nil {
 		d.runners[runner.ID] = &runner
@@ -46,8 +56,6 @@
 	if old.Revision > runner.Revision || old.Incarnation > runner.Incarnation {
 		return ChangeNone
 	}
-	// A store that returned from an older copy may have lost that the runner drains, which it does not undo.
-	runner.Draining = runner.Draining || old.Draining && old.Incarnation == runner.Incarnation
 	change := ChangeNone
 	switch {
 	case old.Incarnation != runner.Incarnation:
@@ -62,6 +70,29 @@
 	return change
 }
 
+// RecordDeparture applies the departure of a runner that its answers tell, to this VM or to others. It returns
+// ChangeDraining if that is new of a listed runner.
+func (d *Directory) RecordDeparture(now time.Time, left Departure) Change {
+	if !d.departures.Record(now, left) {
+		return ChangeNone
+	}
+	runner := d.runners[left.Runner]
+	if runner == nil || runner.Draining || runner.Incarnation > left.Incarnation {
+		return ChangeNone
+	}
+	// Requests hold the former value.
+	leaving := *runner
+	leaving.Draining = true
+	d.runners[runner.ID] = &leaving
+	return ChangeDraining
+}
+
+// Departures returns the departures that other VMs need to be told, in order of the runners.
+func (d *Directory) Departures(now time.Time) []Departure {
+	d.departures.Forget(now, func(runner string) bool { return d.runners[runner] != nil })
+	return d.departures.All()
+}
+
 // Remove removes a runner whose entry was deleted, and returns ChangeNone for an unknown runner.
 func (d *Directory) Remove(id string) Change {
 	delete(d.missingUntil, id)
--- a/state/fleet/order.go
+++ b/state/fleet/order.go
@@ -3,6 +3,8 @@
 // Report is the state that a model runner reports of itself. It is a few hundred milliseconds old on arrival.
 type Report struct {
 	Incarnation int64
+	// Leaving means that the runner leaves.
+	Leaving bool
 	// Sequence is the number of orders that the runner has accepted since its start.
 	Sequence uint64
 	Holdings Holdings
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -84,7 +84,7 @@
 	report := &vm.Report{
 		VM: g.settings.Name, EndpointLoads: g.scheduler.EndpointLoads(now), Demand: make(map[string]allocation.Demand),
 		SyncedRevision: g.knownRevision, Aggregator: g.aggregatorIncarnation, ReceivedChanges: g.receivedChanges,
-		PackedViews: true, Limits: g.knownLimits(now),
+		PackedViews: true, Limits: g.knownLimits(now), Departures: g.knownDepartures(now),
 	}
 	for service, meter := range g.demandMeters {
 		report.Demand[service] = meter.Rates(now)
@@ -133,6 +133,8 @@
 	}
 	g.exchangeCrashes(now, received, s)
 	g.exchangeLimits(now, received, s)
+	g.mergeDepartures(now, received.Departures)
+	s.Departures = g.knownDepartures(now)
 	if view, ok := g.storeLog.Since(now, received.SyncedRevision, maxViewAge); ok && received.VM != g.settings.Name {
 		if received.PackedViews {
 			g.storeLog.Pack(&view)
@@ -182,6 +184,7 @@
 		g.scheduler.SetOtherLoad(runner.ID, s.EndpointLoads[runner.ID])
 	}
 	g.applyLimits(now, s.Limits)
+	g.mergeDepartures(now, s.Departures)
 	changed := false
 	for _, o := range s.Runners {
 		changed = g.directory.MergeHoldings(o.Runner, o.Incarnation, o.Holdings, now.Add(-o.Age)) || changed
--- a/transport/gateway/endpoint.go
+++ b/transport/gateway/endpoint.go
@@ -51,6 +51,7 @@
 		g.mu.Lock()
 		runners := x.endpoints(g.directory.OfService(x.service), software)
 		choice, ok := g.scheduler.Choose(now, &x.request, runners, excluded)
+		restUntil, unavailable := g.scheduler.Unavailable(now, runners)
 		syncAge := now.Sub(g.syncedAt)
 		changed := g.directoryChanged
 		g.mu.Unlock()
@@ -76,11 +77,13 @@
 			if ctx.Err() != nil {
 				return choice, g.refuseWithoutEndpoint(x, len(runners), syncAge)
 			}
-			if !ready {
+			if !ready || !g.stillEligible(x, choice, excluded) {
 				continue
 			}
 			g.recordAdapterUse(clock.Now(), choice.Runner.ID, x.request.Unit)
 			return choice, g.quarantineRefusal(clock.Now(), x)
+		case !ok && len(runners) > 0 && unavailable:
+			return choice, g.refuseUnavailable(now, x, len(runners), restUntil, syncAge)
 		case x.request.Unit.Model == "" || len(runners) == 0 || !now.Before(waitUntil):
 			return choice, g.refuseWithoutEndpoint(x, len(runners), syncAge)
 		}
@@ -158,6 +161,29 @@
 	return refusal
 }
 
+// stillEligible reports whether the chosen endpoint can take the request, which has waited for an adapter or a permit.
+func (g *Gateway) stillEligible(x *exchange, choice dispatch.Choice, excluded []string) bool {
+	now := clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.Eligible(now, &x.request, g.directory.Get(choice.Runner.ID), excluded)
+}
+
+// refuseUnavailable refuses a request to a service whose endpoints all drain or rest. The caller may come back when the
+// first rest ends.
+func (g *Gateway) refuseUnavailable(
+	now time.Time, x *exchange, runners int, restUntil time.Time, syncAge time.Duration,
+) *lifecycle.NoEndpoint {
+	refusal := &lifecycle.NoEndpoint{
+		Reason: "all endpoints of service " + x.service + " drain or rest", RetryAfter: noEndpointRetryAfter,
+	}
+	if !restUntil.IsZero() {
+		refusal.RetryAfter = max(restUntil.Sub(now), time.Millisecond)
+	}
+	g.log.Emit(eventlog.NoEndpoint, x.request.ID, refusal.Reason, runners, syncAge.Milliseconds())
+	return refusal
+}
+
 // recordAdapterUse records the use of an adapter on a runner, which delays its eviction.
 func (g *Gateway) recordAdapterUse(now time.Time, runner string, unit fleet.Unit) {
 	if unit.Adapter == "" {
--- a/transport/gateway/metrics.go
+++ b/transport/gateway/metrics.go
@@ -32,6 +32,10 @@
 	// streamRecords counts the origins of streams that were stored, and the streams that callers took up, by the source of
 	// what is known of their origin.
 	streamRecords = expvar.NewMap("gatewayStreams")
+	// runnerDepartures counts the runners that said in an answer that they leave, and runnerRests the answers that asked for
+	// a rest.
+	runnerDepartures = expvar.NewInt("runnerDepartures")
+	runnerRests      = expvar.NewInt("runnerRests")
 	// limitRecords counts the changes of limits that runners name, and the requests sent to runners that named one.
 	limitRecords = expvar.NewMap("gatewayLimits")
 )
--- a/transport/gateway/orders.go
+++ b/transport/gateway/orders.go
@@ -112,6 +112,10 @@
 		g.mu.Unlock()
 		return maxStepInterval, true
 	}
+	if g.scheduler.Resting(now, id) {
+		g.mu.Unlock()
+		return maxStepInterval, true
+	}
 	o.ledger.SetEngine(engine.engine)
 	if o.ledger.CompleteAdapterLoads(now) {
 		g.publishHoldings(now, id, o)
@@ -153,8 +157,11 @@
 // reportDue reports whether a runner's report must be read now. The caller must hold the lock.
 func (g *Gateway) reportDue(now time.Time, runner *fleet.Runner, o *ownedRunner) bool {
 	age := now.Sub(o.reportReadAt)
+	settled := o.ledger.Known() && !o.ledger.Busy() && o.ledger.Incarnation() == runner.Incarnation
 	switch {
-	case o.ledger.Known() && !o.ledger.Busy() && o.ledger.Incarnation() == runner.Incarnation:
+	case settled && runner.Draining:
+		return false
+	case settled:
 		return age >= idleReportInterval
 	case g.limits.PerSecond(runner.ID) != limits.Unlimited:
 		return age >= limitedReportInterval
@@ -174,6 +181,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.recordAnswered(now, id, report.Incarnation, sentAt)
+	if report.Leaving {
+		g.recordDeparture(now, "", fleet.Departure{Runner: id, Incarnation: report.Incarnation})
+	}
 	if o.ledger.ApplyReport(report) {
 		g.log.Emit(eventlog.RunnerReportApplied, id, report.Sequence, report.Holdings.Busy, len(report.Holdings.Models))
 		g.publishHoldings(now, id, o)
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -393,7 +393,11 @@
 	}
 	g.recordRunnerStart(now, runner)
 	g.versions.Record(now, runner.Service, runner.Software)
-	if change := g.directory.Put(now, runner); change != fleet.ChangeNone {
+	change := g.directory.Put(now, runner)
+	if change == fleet.ChangeRestarted {
+		g.scheduler.RecordRestart(id)
+	}
+	if change != fleet.ChangeNone {
 		g.log.Emit(eventlog.RunnerEntryChanged, id, string(change), runner.Service, runner.Software, item.Revision)
 	}
 	runner.Revision = 0
