Bind streams that go on to a version by what is read in the store after they broke off

A VM that was frozen or cut off meanwhile did not know of a version that had joined. The age of a forwarded view was also counted from its arrival, not from the call that it answers, so that a VM that was frozen in between took it for fresh.

Change: a version of a service's software is recorded in the store before the first resumable stream begins at it. A stream of unknown origin goes on without a record only if the records and the runners' entries, read after it was taken up, show one version alone, in a settled era of the store. Readings are shared. While a service has one version, streams are not confirmed by a report and not stored one by one; when a second is recorded, those under way are. A VM that cannot read the store asks up to eight peers, which answer from their own streams or the same reading; if none knows, the take-up is refused.

The soak found that a runner that starts again while it leaves was sent requests: a VM that is told so in an answer now reads the runner's report until it knows which incarnation leaves, and sends it nothing until then.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -239,6 +239,11 @@
 		[]string{"revision", "error"},
 		"Check that all VMs run the same version of the program.",
 	}
+	EntryIgnored = Event{
+		413, logrus.WarnLevel, "entry in the store is too large; it is ignored",
+		[]string{"key", "revision", "bytes"},
+		"Find out which program wrote the key.",
+	}
 	EraNotMarked = Event{
 		411, logrus.WarnLevel, "settled era of the store could not be read or written; the write is retried",
 		[]string{"era", "error"},
@@ -294,6 +299,11 @@
 		[]string{"request"},
 		"Nothing; the caller retries on another VM.",
 	}
+	VersionNotRecorded = Event{
+		527, logrus.WarnLevel, "version of a service's software could not be recorded in the store; the write is retried",
+		[]string{"service", "software", "error"},
+		"Check the store. Until then no resumable stream begins at runners of this version, if there are others.",
+	}
 	RunnerLeaves = Event{
 		525, logrus.InfoLevel, "a runner says in its answers that it leaves; it gets no new requests",
 		[]string{"request", "runner", "incarnation"},
@@ -347,7 +357,7 @@
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined,
 		RequestServed, RequestNotServed, LogLinesDropped,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
-		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, OriginsNotStored, OriginUnconfirmed, RunnerLeaves, RunnerRests, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable,
+		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, OriginsNotStored, OriginUnconfirmed, RunnerLeaves, RunnerRests, VersionNotRecorded, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable, EntryIgnored,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -19,6 +19,8 @@
 	CallRequestAdapter = "/zinniaroute.VM/Need"
 	// CallTakePermit asks the aggregator for a permit to send a request to a runner that has named a limit.
 	CallTakePermit = "/zinniaroute.VM/Permit"
+	// CallFindOrigin asks a VM where a stream began that a caller takes up.
+	CallFindOrigin = "/zinniaroute.VM/Origin"
 )
 
 // OwnedRunner is the state of a runner according to its owner.
@@ -149,3 +151,18 @@
 	Wait    time.Duration `cbor:"2,keyasint"`
 	Next    time.Duration `cbor:"3,keyasint"`
 }
+
+// OriginRequest asks where a stream began.
+type OriginRequest struct {
+	// Attempt is the attempt that brought the stream's first event.
+	Attempt string `cbor:"1,keyasint"`
+	// Service is the only service at which the stream can have begun, or "" if there are several.
+	Service string `cbor:"2,keyasint,omitempty"`
+}
+
+// OriginResponse tells where a stream began, if the VM knows it.
+type OriginResponse struct {
+	Known    bool   `cbor:"1,keyasint"`
+	Service  string `cbor:"2,keyasint,omitempty"`
+	Software string `cbor:"3,keyasint,omitempty"`
+}
--- a/state/fleet/departures.go
+++ b/state/fleet/departures.go
@@ -28,15 +28,12 @@
 // NewDepartures returns departures of no runner.
 func NewDepartures() *Departures { return &Departures{latest: make(map[string]departure)} }
 
-// Record records a departure and reports whether it was not known. The order in which departures are recorded, and how
-// often, makes no difference.
-func (d *Departures) Record(now time.Time, left Departure) bool {
+// Record records a departure. The order in which departures are recorded, and how often, makes no difference.
+func (d *Departures) Record(now time.Time, left Departure) {
 	known, ok := d.latest[left.Runner]
-	if ok && known.incarnation >= left.Incarnation {
-		return false
+	if !ok || known.incarnation < left.Incarnation {
+		d.latest[left.Runner] = departure{left.Incarnation, now}
 	}
-	d.latest[left.Runner] = departure{left.Incarnation, now}
-	return true
 }
 
 // Includes reports whether a runner leaves in an incarnation, or has left in a later one.
--- a/state/fleet/directory.go
+++ b/state/fleet/directory.go
@@ -13,12 +13,22 @@
 	missingUntil map[string]time.Time
 	// departures holds the runners that leave, by their entries or by their answers to any VM.
 	departures *Departures
+	// doubts holds the runners that have told this VM that they leave.
+	doubts map[string]doubt
+}
+
+// doubt says whether it is known which incarnation of a runner told this VM that it leaves: the runner may have started
+// again since its entry was read.
+type doubt struct {
+	open bool
+	// settledAt is the time of the call that settled the doubt. Requests sent before reached no later incarnation.
+	settledAt time.Time
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	return &Directory{
-		runners: make(map[string]*Runner), missingUntil: make(map[string]time.Time), departures: NewDepartures(),
+		runners: make(map[string]*Runner), missingUntil: make(map[string]time.Time), departures: NewDepartures(), doubts: make(map[string]doubt),
 	}
 }
 
@@ -47,7 +57,7 @@
 	}
 	// A store that returned from an older copy may have lost that the runner drains, and some runners only say so in their
 	// answers.
-	runner.Draining = d.departures.Includes(runner.ID, runner.Incarnation)
+	runner.Draining = d.leaves(&runner)
 	old := d.runners[runner.ID]
 	if old == nil {
 		d.runners[runner.ID] = &runner
@@ -70,26 +80,66 @@
 	return change
 }
 
-// RecordDeparture applies the departure of a runner that its answers tell, to this VM or to others. It returns
-// ChangeDraining if that is new of a listed runner.
+// leaves reports whether a runner is known or suspected to leave in the incarnation of its entry.
+func (d *Directory) leaves(runner *Runner) bool {
+	return d.departures.Includes(runner.ID, runner.Incarnation) || d.doubts[runner.ID].open
+}
+
+// RecordDeparture applies the departure of a runner that another VM or the runner's report tells. It returns ChangeDraining
+// if that is new of a listed runner.
 func (d *Directory) RecordDeparture(now time.Time, left Departure) Change {
-	if !d.departures.Record(now, left) {
-		return ChangeNone
+	d.departures.Record(now, left)
+	return d.updateDraining(left.Runner)
+}
+
+// RecordLeavingAnswer applies an answer to a request sent at a time to a runner, which says that it leaves. The incarnation is
+// that of the runner's entry. Until SettleDeparture, later incarnations count as leaving too. It reports whether the runner's
+// report should be read.
+func (d *Directory) RecordLeavingAnswer(now time.Time, left Departure, sentAt time.Time) (Change, bool) {
+	known := d.doubts[left.Runner]
+	doubtful := !known.open && sentAt.After(known.settledAt)
+	if doubtful {
+		d.doubts[left.Runner] = doubt{open: true}
+	}
+	return d.RecordDeparture(now, left), doubtful
+}
+
+// Doubtful reports whether it is not known yet which incarnation of a runner told this VM that it leaves.
+func (d *Directory) Doubtful(id string) bool { return d.doubts[id].open }
+
+// SettleDeparture applies the report of a runner that has told this VM that it leaves, in answer to a call sent at a time.
+func (d *Directory) SettleDeparture(now time.Time, report Departure, leaving bool, sentAt time.Time) {
+	if leaving {
+		d.departures.Record(now, report)
 	}
-	runner := d.runners[left.Runner]
-	if runner == nil || runner.Draining || runner.Incarnation > left.Incarnation {
+	d.doubts[report.Runner] = doubt{settledAt: sentAt}
+	d.updateDraining(report.Runner)
+}
+
+// updateDraining sets whether a listed runner drains, and returns ChangeDraining if it does and did not before.
+func (d *Directory) updateDraining(id string) Change {
+	runner := d.runners[id]
+	if runner == nil || runner.Draining == d.leaves(runner) {
 		return ChangeNone
 	}
 	// Requests hold the former value.
-	leaving := *runner
-	leaving.Draining = true
-	d.runners[runner.ID] = &leaving
+	updated := *runner
+	updated.Draining = !runner.Draining
+	d.runners[id] = &updated
+	if !updated.Draining {
+		return ChangeNone
+	}
 	return ChangeDraining
 }
 
 // Departures returns the departures that other VMs need to be told, in order of the runners.
 func (d *Directory) Departures(now time.Time) []Departure {
 	d.departures.Forget(now, func(runner string) bool { return d.runners[runner] != nil })
+	for runner := range d.doubts {
+		if !d.departures.Includes(runner, 0) {
+			delete(d.doubts, runner)
+		}
+	}
 	return d.departures.All()
 }
 
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -39,6 +39,9 @@
 		owned, held, reason := g.loadAdapter(ctx, q.Runner, q.Unit)
 		return &vm.AdapterResponse{Loaded: held, Reason: reason, Runner: owned}, nil
 	})
+	rpc.Handle(mux, vm.CallFindOrigin, func(ctx context.Context, q *vm.OriginRequest) (*vm.OriginResponse, error) {
+		return g.serveOrigin(ctx, q), nil
+	})
 	rpc.Handle(mux, vm.CallTakePermit, func(ctx context.Context, q *vm.PermitRequest) (*vm.PermitResponse, error) {
 		return g.servePermit(ctx, *q), nil
 	})
@@ -57,7 +60,7 @@
 		crashChanges := g.addCrashes(report)
 		g.mu.Unlock()
 		if aggregator == "" || aggregator == g.settings.Name {
-			g.applySummary(now, g.mergeReport(now, report))
+			g.applySummary(now, now, g.mergeReport(now, report))
 			g.planMoves(now)
 			return
 		}
@@ -71,11 +74,12 @@
 			g.mu.Unlock()
 			return
 		}
+		askedAt := now
 		now = clock.Now()
 		g.mu.Lock()
 		g.recordCrashExchange(now, report, crashChanges, summary)
 		g.mu.Unlock()
-		g.applySummary(now, summary)
+		g.applySummary(askedAt, now, summary)
 	})
 }
 
@@ -169,10 +173,10 @@
 	return s
 }
 
-// applySummary applies a summary of the other VMs' reports.
-func (g *Gateway) applySummary(now time.Time, s *vm.Summary) {
+// applySummary applies a summary of the other VMs' reports that answers a call sent at askedAt.
+func (g *Gateway) applySummary(askedAt, now time.Time, s *vm.Summary) {
 	if s.View != nil {
-		g.applyView(now, s.View, s.Grace)
+		g.applyView(askedAt, now, s.View, s.Grace)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/transport/gateway/departures.go
+++ b/transport/gateway/departures.go
@@ -9,6 +9,7 @@
 	"github.com/zinniaroute/zinniaroute/protocol/vm"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
+	"github.com/zinniaroute/zinniaroute/transport/group"
 )
 
 // recordStanding records what the runner says of itself in the head of an answer: that it leaves, or that it wants a rest.
@@ -19,8 +20,13 @@
 	now, g, runner := clock.Now(), x.gateway, x.choice.Runner
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if head.Leaving && g.recordDeparture(now, x.request.ID, fleet.Departure{Runner: runner.ID, Incarnation: runner.Incarnation}) {
-		g.tasks.Run("confirm departure", func(ctx context.Context) { g.confirmDeparture(ctx, runner) })
+	if head.Leaving {
+		left := fleet.Departure{Runner: runner.ID, Incarnation: runner.Incarnation}
+		change, doubtful := g.directory.RecordLeavingAnswer(now, left, x.sentAt)
+		g.applyDeparture(change, x.request.ID, left)
+		if doubtful {
+			g.tasks.Run("settle departure", func(ctx context.Context) { g.settleDeparture(ctx, runner.ID) })
+		}
 	}
 	if head.Rest > 0 {
 		runnerRests.Add(1)
@@ -29,39 +35,67 @@
 	}
 }
 
-// confirmDeparture reads the report of a runner that leaves, which tells its incarnation. The runner may have started again
-// since its entry was read.
-func (g *Gateway) confirmDeparture(ctx context.Context, runner *fleet.Runner) {
+// settleInterval is the time between two reads of the report of a runner that leaves, until one succeeds.
+const settleInterval = time.Second
+
+// settleDeparture reads the report of a runner that told this VM that it leaves, which shows the incarnation that does.
+func (g *Gateway) settleDeparture(ctx context.Context, id string) {
+	for g.isDoubtful(id) {
+		g.settleOnce(ctx, id)
+		if !g.isDoubtful(id) || !group.Sleep(ctx, settleInterval) {
+			return
+		}
+	}
+}
+
+func (g *Gateway) isDoubtful(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.directory.Doubtful(id)
+}
+
+// settleOnce reads the report once, if the runner is listed.
+func (g *Gateway) settleOnce(ctx context.Context, id string) {
+	g.mu.Lock()
+	runner := g.directory.Get(id)
+	g.mu.Unlock()
+	if runner == nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	report, err := g.runnerClient.Report(ctx, runner.ID, runner.Address)
+	sentAt := clock.Now()
+	report, err := g.runnerClient.Report(ctx, id, runner.Address)
 	if err != nil {
-		g.log.Emit(eventlog.RunnerReportUnreadable, runner.ID, err)
 		return
 	}
+	now := clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if report.Leaving {
-		g.recordDeparture(clock.Now(), "", fleet.Departure{Runner: runner.ID, Incarnation: report.Incarnation})
-	}
+	g.directory.SettleDeparture(now, fleet.Departure{Runner: id, Incarnation: report.Incarnation}, report.Leaving, sentAt)
+	g.notifyDirectoryChange()
 }
 
-// recordDeparture applies the departure of a runner that it has told this VM, in the answer to a request, or another one. It
-// reports whether the departure is new. The caller must hold the lock.
-func (g *Gateway) recordDeparture(now time.Time, request string, left fleet.Departure) bool {
-	if g.directory.RecordDeparture(now, left) == fleet.ChangeNone {
-		return false
+// applyDeparture applies a change of the directory by the departure of a runner, which it has told this VM in the answer to a
+// request, or another one. The caller must hold the lock.
+func (g *Gateway) applyDeparture(change fleet.Change, request string, left fleet.Departure) {
+	if change == fleet.ChangeNone {
+		return
 	}
 	runnerDepartures.Add(1)
 	g.log.Emit(eventlog.RunnerLeaves, request, left.Runner, left.Incarnation)
 	g.notifyDirectoryChange()
-	return true
+}
+
+// recordDeparture records a departure that a runner's report or another VM tells. The caller must hold the lock.
+func (g *Gateway) recordDeparture(now time.Time, left fleet.Departure) {
+	g.applyDeparture(g.directory.RecordDeparture(now, left), "", left)
 }
 
 // mergeDepartures merges the departures that another VM reports. The caller must hold the lock.
 func (g *Gateway) mergeDepartures(now time.Time, reported []vm.Departure) {
 	for _, d := range reported {
-		g.recordDeparture(now, "", fleet.Departure{Runner: d.Runner, Incarnation: d.Incarnation})
+		g.recordDeparture(now, fleet.Departure{Runner: d.Runner, Incarnation: d.Incarnation})
 	}
 }
 
--- a/transport/gateway/era.go
+++ b/transport/gateway/era.go
@@ -12,6 +12,7 @@
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/platform"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
+	"github.com/zinniaroute/zinniaroute/state/origins"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 )
 
@@ -33,6 +34,7 @@
 	// The new log takes an entry of the listing only if it differs from the known one.
 	clear(g.runnerEntries)
 	g.settledEra, g.settledEraRevision = 0, 0
+	g.versions = origins.NewVersions()
 	g.loadsBlockedUntil = now.Add(pacing.PermitLifetime(g.bounds().LoadWindow.Duration))
 	storeReturns.Add(1)
 	g.log.Emit(eventlog.StoreReturned, known.String(), revision.String(), now.Sub(g.syncedAt).Milliseconds())
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -53,6 +53,8 @@
 	relay *eventRelay
 	// binding holds the software version of a resumable stream that has begun, and is nil for other requests.
 	binding *binding
+	// begun is the resumable stream that this request has begun, or nil.
+	begun *stream
 	// resumption means that the caller takes up a stream that broke off.
 	resumption bool
 	sentAt     time.Time
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -67,9 +67,13 @@
 	scheduler *dispatch.Scheduler
 	limits    *limits.Registry
 	permits   *limits.Permits
-	// origins holds where streams began that this VM served, and versions the software versions of runners of late.
+	// origins holds where streams began that this VM served, and versions the recorded versions of software.
 	origins  *origins.Table
-	versions *origins.History
+	versions *origins.Versions
+	// unboundStreams holds the streams whose version has not been needed so far, by attempt.
+	unboundStreams map[string]*stream
+	// unrecordedSince is since when a listed runner has a version that is not recorded, or zero.
+	unrecordedSince time.Time
 	// queuedOrigins are to be written to the store. originsQueued wakes the task that does so.
 	queuedOrigins []queuedOrigin
 	originsQueued chan struct{}
@@ -115,6 +119,10 @@
 	// syncedAt is the time of the request to the store that the known content reflects.
 	syncedAt time.Time
 
+	// readingVersions has room for one reading of the versions in the store, whose result is versionEvidence.
+	readingVersions chan struct{}
+	versionEvidence evidence
+
 	inFlight atomic.Int64
 	stopping atomic.Bool
 	// refusing reports that the platform has taken the VM out of rotation, so that new requests are refused.
@@ -136,7 +144,9 @@
 		directory:        fleet.NewDirectory(),
 		scheduler:        dispatch.NewScheduler(s.Domain),
 		origins:          origins.NewTable(),
-		versions:         origins.NewHistory(),
+		versions:         origins.NewVersions(),
+		unboundStreams:   make(map[string]*stream),
+		readingVersions:  make(chan struct{}, 1),
 		originsQueued:    make(chan struct{}, 1),
 		limits:           limits.NewRegistry(),
 		permits:          limits.NewPermits(),
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -158,6 +158,7 @@
 		for _, w := range claims {
 			g.claimRunner(ctx, era, w)
 		}
+		g.recordVersions(ctx)
 		g.releaseOrphans(ctx)
 		g.markEraSettled(ctx)
 		g.mu.Lock()
@@ -168,6 +169,7 @@
 			}
 		}
 		g.updateBudgetMembers(now)
+		g.forgetStreams(now)
 	})
 }
 
--- a/transport/gateway/metrics.go
+++ b/transport/gateway/metrics.go
@@ -32,6 +32,8 @@
 	// streamRecords counts the origins of streams that were stored, and the streams that callers took up, by the source of
 	// what is known of their origin.
 	streamRecords = expvar.NewMap("gatewayStreams")
+	// ignoredEntries counts the entries in the store that could not be read or were too large.
+	ignoredEntries = expvar.NewInt("ignoredEntries")
 	// runnerDepartures counts the runners that said in an answer that they leave, and runnerRests the answers that asked for
 	// a rest.
 	runnerDepartures = expvar.NewInt("runnerDepartures")
--- a/transport/gateway/orders.go
+++ b/transport/gateway/orders.go
@@ -182,7 +182,7 @@
 	defer g.mu.Unlock()
 	g.recordAnswered(now, id, report.Incarnation, sentAt)
 	if report.Leaving {
-		g.recordDeparture(now, "", fleet.Departure{Runner: id, Incarnation: report.Incarnation})
+		g.recordDeparture(now, fleet.Departure{Runner: id, Incarnation: report.Incarnation})
 	}
 	if o.ledger.ApplyReport(report) {
 		g.log.Emit(eventlog.RunnerReportApplied, id, report.Sequence, report.Holdings.Busy, len(report.Holdings.Models))
--- a/transport/gateway/origins.go
+++ b/transport/gateway/origins.go
@@ -11,6 +11,7 @@
 
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/platform"
+	"github.com/zinniaroute/zinniaroute/protocol/vm"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
 	"github.com/zinniaroute/zinniaroute/state/origins"
 	"github.com/zinniaroute/zinniaroute/state/routes"
@@ -52,17 +53,16 @@
 
 // recordOrigin records at which software a stream has begun, for callers that take it up: here, and in the store for other
 // VMs and for the time after a restart.
-func (x *exchange) recordOrigin(now time.Time, software string) {
-	g, attempt := x.gateway, x.request.ID
-	origin := origins.Origin{Service: x.service, Software: software}
+func (g *Gateway) recordOrigin(now time.Time, s *stream) {
+	origin := origins.Origin{Service: s.service, Software: s.binding.software}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.origins.Put(now, attempt, origin, now.Add(streamLifetime(x.route)))
-	if !storableAttempt.MatchString(attempt) || len(g.queuedOrigins) >= maxQueuedOrigins {
+	g.origins.Put(now, s.attempt, origin, s.until)
+	if !storableAttempt.MatchString(s.attempt) || len(g.queuedOrigins) >= maxQueuedOrigins {
 		streamRecords.Add("notStored", 1)
 		return
 	}
-	g.queuedOrigins = append(g.queuedOrigins, queuedOrigin{attempt, origin, now, x.binding})
+	g.queuedOrigins = append(g.queuedOrigins, queuedOrigin{s.attempt, origin, now, s.binding})
 	select {
 	case g.originsQueued <- struct{}{}:
 	default:
@@ -207,44 +207,52 @@
 // known.
 func (x *exchange) findOrigin(ctx context.Context, now time.Time) (origins.Origin, string) {
 	g, attempt := x.gateway, x.request.Resumption.Attempt
+	if origin, ok := g.ownOrigin(ctx, now, attempt); ok {
+		return origin, "this VM"
+	}
+	// Another VM or another process may have begun the stream.
+	service := ""
+	if len(x.route.TrafficSplit) == 1 {
+		service = x.route.TrafficSplit[0].Service
+	}
 	g.mu.Lock()
-	origin, ok := g.origins.Get(now, attempt)
+	several := g.versions.HasSeveral(service)
 	g.mu.Unlock()
-	if ok {
-		return origin, "this VM"
+	var storeErr error
+	if service != "" && !several {
+		var software string
+		if software, storeErr = g.soleVersion(ctx, service, now); storeErr == nil {
+			return origins.Origin{Service: service, Software: software}, "only version"
+		}
 	}
 	if storableAttempt.MatchString(attempt) {
-		if origin, ok = g.readOrigin(ctx, attempt); ok {
+		var origin origins.Origin
+		if origin, storeErr = g.readOrigin(ctx, attempt); storeErr == nil {
 			return origin, "store"
 		}
 	}
-	if len(x.route.TrafficSplit) != 1 {
+	if storeErr == nil || errors.Is(storeErr, platform.ErrNoItem) || errors.Is(storeErr, errOriginUnknown) {
 		return origins.Origin{}, ""
 	}
-	service := x.route.TrafficSplit[0].Service
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	// Another VM or another process may have begun the stream. Only one version can have, if no other was in service.
-	software, ok := g.versions.Only(clock.Now(), service, streamLifetime(x.route))
-	if !ok {
-		return origins.Origin{}, ""
+	if origin, ok := g.askPeers(ctx, vm.OriginRequest{Attempt: attempt, Service: service}); ok {
+		return origin, "peer"
 	}
-	return origins.Origin{Service: service, Software: software}, "only version"
+	return origins.Origin{}, ""
 }
 
 // readOrigin reads the origin of a stream from the store.
-func (g *Gateway) readOrigin(ctx context.Context, attempt string) (origins.Origin, bool) {
+func (g *Gateway) readOrigin(ctx context.Context, attempt string) (origins.Origin, error) {
 	ctx, cancel := context.WithTimeout(ctx, originReadTimeout)
 	defer cancel()
 	item, err := g.store.Get(ctx, streamsPrefix+attempt)
 	if err != nil {
-		return origins.Origin{}, false
+		return origins.Origin{}, err
 	}
 	var origin origins.Origin
 	if err := json.Unmarshal(item.Value, &origin); err != nil || origin.Software == "" {
-		return origins.Origin{}, false
+		return origins.Origin{}, errOriginUnknown
 	}
-	return origin, true
+	return origin, nil
 }
 
 // refuseTakeUp returns the refusal of a request that goes on with a stream of unknown origin.
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -33,6 +33,8 @@
 	// forwardedViewTimeout is the longest time since the last forwarded view for which a VM does not read the store
 	// itself. Views arrive every aggregationInterval.
 	forwardedViewTimeout = time.Second
+	// maxEntryBytes bounds the values other than the configuration that this VM keeps and forwards.
+	maxEntryBytes = 256 << 10
 	// entryReturnGrace is the time within which runners write their entries again after the entries expired during an
 	// outage of the store.
 	entryReturnGrace = 2500 * time.Millisecond
@@ -176,10 +178,6 @@
 		g.syncedAt = requestedAt
 	}
 	g.owners.RecordSync(requestedAt)
-	g.versions.RecordSync(requestedAt)
-	for _, runner := range g.directory.All() {
-		g.versions.Record(requestedAt, runner.Service, runner.Software)
-	}
 }
 
 // watchStore applies changes until a call fails or another VM forwards them.
@@ -226,8 +224,9 @@
 }
 
 // applyView applies a view that another VM forwarded. It ignores one of an earlier era of the store than the known
-// content, and whole content that is older than it.
-func (g *Gateway) applyView(now time.Time, v *relay.View, grace time.Duration) {
+// content, and whole content that is older than it. The view answers a call sent at askedAt: this VM may have been frozen
+// since then.
+func (g *Gateway) applyView(askedAt, now time.Time, v *relay.View, grace time.Duration) {
 	items, err := unpack(v.Items)
 	if err != nil {
 		g.log.Emit(eventlog.ViewUnreadable, v.Revision, err)
@@ -264,7 +263,7 @@
 	}
 	g.forgetRunners(g.directory.Expire(now))
 	g.lastViewAt = now
-	g.recordRevision(now.Add(-v.Age), v.Revision)
+	g.recordRevision(askedAt.Add(-v.Age), v.Revision)
 	if len(v.Items) > 0 {
 		g.notifyDirectoryChange()
 	}
@@ -282,8 +281,8 @@
 	return items, nil
 }
 
-// removeUnlisted removes members, owners, stored quarantines and load permits whose keys a complete listing lacks. The caller must hold the
-// lock.
+// removeUnlisted removes members, owners, stored quarantines, recorded versions and load permits whose keys a complete listing
+// lacks. The caller must hold the lock.
 func (g *Gateway) removeUnlisted(now time.Time, listed map[string]bool) {
 	for _, member := range g.owners.Members() {
 		if !listed[membersPrefix+member] {
@@ -300,6 +299,7 @@
 			delete(g.crashes.stored, name)
 		}
 	}
+	g.versions.Retain(func(service, software string) bool { return listed[softwareKey(service, software)] })
 	g.loadPermits.ApplyListing(listed)
 }
 
@@ -319,6 +319,10 @@
 	case strings.HasPrefix(item.Key, streamsPrefix):
 		// Only the VM at which a caller takes up the stream needs it, and reads it.
 		return
+	case len(item.Value) > maxEntryBytes && item.Key != platform.ConfigurationKey:
+		ignoredEntries.Add(1)
+		g.log.Emit(eventlog.EntryIgnored, item.Key, item.Revision, len(item.Value))
+		return
 	case item.Key == platform.ConfigurationKey && !item.Deleted:
 		g.applyConfiguration(item)
 	case strings.HasPrefix(item.Key, platform.RunnersPrefix):
@@ -345,6 +349,8 @@
 		g.applyMember(now, item)
 	case strings.HasPrefix(item.Key, ownersPrefix):
 		g.applyOwner(item)
+	case strings.HasPrefix(item.Key, softwarePrefix):
+		g.applySoftware(item)
 	case item.Key == settledEraKey:
 		g.applySettledEra(item)
 	case strings.HasPrefix(item.Key, quarantinePrefix):
@@ -388,11 +394,11 @@
 	}
 	runner, err := platform.DecodeRunner(item.Key, item.Value, item.Revision)
 	if err != nil {
+		ignoredEntries.Add(1)
 		g.log.Emit(eventlog.RunnerEntryUnreadable, id, item.Revision, err)
 		return true
 	}
 	g.recordRunnerStart(now, runner)
-	g.versions.Record(now, runner.Service, runner.Software)
 	change := g.directory.Put(now, runner)
 	if change == fleet.ChangeRestarted {
 		g.scheduler.RecordRestart(id)
