--- a/standin/metadata/server.go
+++ b/standin/metadata/server.go
@@ -16,7 +16,9 @@
 )
 
 const (
-	maxPageItems    = 500
+	maxPageItems = 500
+	// maxPageBytes is the size of the values from which a page ends.
+	maxPageBytes    = 1 << 20
 	maxWatchTimeout = 30 * time.Second
 )
 
--- a/standin/metadata/store.go
+++ b/standin/metadata/store.go
@@ -190,14 +190,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
+	bytes := 0
 	for _, key := range s.keys(prefix) {
 		if key <= after && after != "" {
 			continue
 		}
-		if len(items) == limit {
+		if len(items) == limit || bytes >= maxPageBytes {
 			return items, true, s.revision
 		}
 		items = append(items, s.items[key])
+		bytes += len(s.items[key].Value)
 	}
 	return items, false, s.revision
 }
