Offer the store's content to VMs that have started while the store is away

Cause: a VM that starts while the store is down, or turns it away, had no configuration, and no peers from which it could take one, until the store was back.

Change: the aggregator offers the store's content to members that do not report, eight at once; one that has none takes it, also of an era before the store's return, and goes on trying to read the store. It gets no authority over runners by it. A VM without any content refuses reports, so that the others take the next one for the aggregator.

--- a/coordination/gathering/reports.go
+++ b/coordination/gathering/reports.go
@@ -81,6 +81,9 @@
 	}
 }
 
+// ReceivedAt returns when the latest report of a VM arrived, or zero if none has arrived of late.
+func (r *Reports) ReceivedAt(vm string) time.Time { return r.latest[vm].receivedAt }
+
 func (o OwnedRunner) sameState(other OwnedRunner) bool {
 	return o.Incarnation == other.Incarnation && o.Moving == other.Moving && reflect.DeepEqual(o.Holdings, other.Holdings)
 }
--- a/coordination/relay/log.go
+++ b/coordination/relay/log.go
@@ -42,8 +42,9 @@
 	// floor is the revision after which the log holds all changes. Zero means that nothing was listed yet.
 	floor    fleet.Revision
 	revision fleet.Revision
-	// syncedAt is when the last request that the store answered was sent, or zero after Suspend.
-	syncedAt time.Time
+	// syncedAt is when the last request that the store answered was sent. suspended means that later ones failed.
+	syncedAt  time.Time
+	suspended bool
 }
 
 // NewLog returns an empty log, which forwards nothing before its first listing.
@@ -95,12 +96,32 @@
 func (l *Log) RecordSync(requestedAt time.Time, revision fleet.Revision) {
 	l.revision = max(l.revision, revision)
 	if requestedAt.After(l.syncedAt) {
-		l.syncedAt = requestedAt
+		l.syncedAt, l.suspended = requestedAt, false
 	}
 }
 
 // Suspend records that the store does not answer. The log forwards nothing until the next RecordSync.
-func (l *Log) Suspend() { l.syncedAt = time.Time{} }
+func (l *Log) Suspend() { l.suspended = true }
+
+// Content returns the whole content, also while the log is suspended. It returns false if the last sync is older than maxAge.
+func (l *Log) Content(now time.Time, maxAge time.Duration) (View, bool) {
+	age := now.Sub(l.syncedAt)
+	if l.floor == 0 || age > maxAge {
+		return View{}, false
+	}
+	v := View{Revision: l.revision, Age: age, Full: true}
+	for _, item := range l.items {
+		v.Items = append(v.Items, item)
+	}
+	sortItems(v.Items)
+	return v, true
+}
+
+func sortItems(items []Item) {
+	slices.SortFunc(items, func(a, b Item) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), strings.Compare(a.Key, b.Key))
+	})
+}
 
 // Pack compresses the large values of a view that Since has returned.
 func (l *Log) Pack(v *View) {
@@ -121,7 +142,7 @@
 // It returns false if the last sync is older than maxAge, or is of an earlier era of the store than the known revision.
 func (l *Log) Since(now time.Time, known fleet.Revision, maxAge time.Duration) (View, bool) {
 	age := now.Sub(l.syncedAt)
-	if l.floor == 0 || age > maxAge || known.Era() > l.revision.Era() {
+	if l.suspended || l.floor == 0 || age > maxAge || known.Era() > l.revision.Era() {
 		return View{}, false
 	}
 	v := View{Revision: l.revision, Age: age, Full: known < l.floor}
@@ -140,8 +161,6 @@
 			}
 		}
 	}
-	slices.SortFunc(v.Items, func(a, b Item) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), strings.Compare(a.Key, b.Key))
-	})
+	sortItems(v.Items)
 	return v, true
 }
--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -239,6 +239,11 @@
 		[]string{"revision", "error"},
 		"Check that all VMs run the same version of the program.",
 	}
+	ContentReceived = Event{
+		414, logrus.InfoLevel, "this VM has no configuration and takes the store's content from another VM",
+		[]string{"revision", "ageMs"},
+		"Check why this VM cannot read the store.",
+	}
 	EntryIgnored = Event{
 		413, logrus.WarnLevel, "entry in the store is too large; it is ignored",
 		[]string{"key", "revision", "bytes"},
@@ -357,7 +362,7 @@
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined,
 		RequestServed, RequestNotServed, LogLinesDropped,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
-		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, OriginsNotStored, OriginUnconfirmed, RunnerLeaves, RunnerRests, VersionNotRecorded, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable, EntryIgnored,
+		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, OriginsNotStored, OriginUnconfirmed, RunnerLeaves, RunnerRests, VersionNotRecorded, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable, EntryIgnored, ContentReceived,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -19,6 +19,8 @@
 	CallRequestAdapter = "/zinniaroute.VM/Need"
 	// CallTakePermit asks the aggregator for a permit to send a request to a runner that has named a limit.
 	CallTakePermit = "/zinniaroute.VM/Permit"
+	// CallOffer offers the store's content to a VM that may have none.
+	CallOffer = "/zinniaroute.VM/Offer"
 	// CallFindOrigin asks a VM where a stream began that a caller takes up.
 	CallFindOrigin = "/zinniaroute.VM/Origin"
 )
@@ -166,3 +168,15 @@
 	Service  string `cbor:"2,keyasint,omitempty"`
 	Software string `cbor:"3,keyasint,omitempty"`
 }
+
+// Offer offers the store's content to a VM that may have none.
+type Offer struct {
+	// View is the whole content, or nil to ask whether it is needed.
+	View *relay.View `cbor:"1,keyasint,omitempty"`
+}
+
+// OfferResponse is the answer to an offer.
+type OfferResponse struct {
+	// Needed reports that the VM has no configuration.
+	Needed bool `cbor:"1,keyasint,omitempty"`
+}
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/zinniaroute/zinniaroute/coordination/gathering"
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/protocol/vm"
@@ -33,12 +35,18 @@
 func (g *Gateway) peerHandlers() *rpc.Mux {
 	mux := rpc.NewMux()
 	rpc.Handle(mux, vm.CallExchange, func(_ context.Context, report *vm.Report) (*vm.Summary, error) {
+		if !g.hasContent() {
+			return nil, errNoContent
+		}
 		return g.mergeReport(clock.Now(), report), nil
 	})
 	rpc.Handle(mux, vm.CallRequestAdapter, func(ctx context.Context, q *vm.AdapterRequest) (*vm.AdapterResponse, error) {
 		owned, held, reason := g.loadAdapter(ctx, q.Runner, q.Unit)
 		return &vm.AdapterResponse{Loaded: held, Reason: reason, Runner: owned}, nil
 	})
+	rpc.Handle(mux, vm.CallOffer, func(_ context.Context, offer *vm.Offer) (*vm.OfferResponse, error) {
+		return g.serveOffer(clock.Now(), offer), nil
+	})
 	rpc.Handle(mux, vm.CallFindOrigin, func(ctx context.Context, q *vm.OriginRequest) (*vm.OriginResponse, error) {
 		return g.serveOrigin(ctx, q), nil
 	})
@@ -48,6 +56,16 @@
 	return mux
 }
 
+var errNoContent = errors.New("the VM has started and has nothing of the store's content yet")
+
+// hasContent reports whether this VM has read the store, or has its content from another VM. Until then it cannot be the
+// aggregator.
+func (g *Gateway) hasContent() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.knownRevision != 0
+}
+
 // syncWithAggregator sends the VM's report to the aggregator and applies the summary that it returns. The aggregator
 // itself merges its own report and also plans the moves of models.
 func (g *Gateway) syncWithAggregator(ctx context.Context) error {
@@ -62,6 +80,7 @@
 		if aggregator == "" || aggregator == g.settings.Name {
 			g.applySummary(now, now, g.mergeReport(now, report))
 			g.planMoves(now)
+			g.offerContent(now)
 			return
 		}
 		peer := g.peers.get(aggregator)
--- a/transport/gateway/aggregator.go
+++ b/transport/gateway/aggregator.go
@@ -72,6 +72,7 @@
 // removeMember records that a VM's key is gone. The caller must hold the lock.
 func (g *Gateway) removeMember(now time.Time, name string) {
 	g.owners.RemoveMember(now, name)
+	delete(g.offeredAt, name)
 	delete(g.memberValues, name)
 	g.aggregators = nil
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -119,6 +119,11 @@
 	// syncedAt is the time of the request to the store that the known content reflects.
 	syncedAt time.Time
 
+	// offeredAt is when the store's content was last offered to each member that does not report, and offersInFlight the
+	// number of offers that have not ended. The field mu protects both.
+	offeredAt      map[string]time.Time
+	offersInFlight int
+
 	// readingVersions has room for one reading of the versions in the store, whose result is versionEvidence.
 	readingVersions chan struct{}
 	versionEvidence evidence
@@ -146,6 +151,7 @@
 		origins:          origins.NewTable(),
 		versions:         origins.NewVersions(),
 		unboundStreams:   make(map[string]*stream),
+		offeredAt:        make(map[string]time.Time),
 		readingVersions:  make(chan struct{}, 1),
 		originsQueued:    make(chan struct{}, 1),
 		limits:           limits.NewRegistry(),
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -238,7 +238,9 @@
 	g.applying.Lock()
 	defer g.applying.Unlock()
 	g.mu.Lock()
-	outdated := v.Revision.Era() < max(g.knownRevision.Era(), g.store.Era()) || v.Full && v.Revision < g.knownRevision
+	// A VM that knows nothing takes also what the store has lost since: others serve by it.
+	ofEarlierEra := g.knownRevision != 0 && v.Revision.Era() < max(g.knownRevision.Era(), g.store.Era())
+	outdated := ofEarlierEra || v.Full && v.Revision < g.knownRevision
 	if !outdated && g.beginEra(now, v.Revision) {
 		grace = max(grace, entryReturnGrace)
 	}
