Let requests for a model that no runner holds wait only if its load ends in time

Cause: such a request waited for two seconds, whatever a load takes. Callers of streams with a short target leave after two seconds without an event, so that the answer came when they had left; those that got it had less time to come back than the load took.

Change: the time of a load is taken from the configuration, by the copies that runners have at hand. A request waits if the load is expected to end within its caller's patience, and is rejected at once otherwise, with the time until then. The pause that callers accept is read from the route.

--- a/state/fleet/request.go
+++ b/state/fleet/request.go
@@ -52,6 +52,8 @@
 	Deadline time.Time
 	// TargetLatency is the time from arrival to the first byte within which the response has its full value.
 	TargetLatency time.Duration
+	// MaxPause is the longest pause between two events of a stream with which the response has its full value, or zero.
+	MaxPause time.Duration
 }
 
 // SharedParts returns the parts that other requests may share, which is all but the last.
--- a/state/routes/table.go
+++ b/state/routes/table.go
@@ -41,6 +41,9 @@
 	Priority int
 	// MaxRuns is the maximum number of endpoints that may run one request.
 	MaxRuns int
+	// MaxPause is the longest pause between two events of a stream with which its answer has its full value, or zero if the
+	// route sets none.
+	MaxPause time.Duration
 	// Resumable means that another endpoint can continue a truncated stream.
 	Resumable bool
 }
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -83,6 +83,7 @@
 		return
 	}
 	request.Kind, request.Priority, request.TargetLatency = route.Kind, route.Priority, route.TargetLatency
+	request.MaxPause = route.MaxPause
 	timeout := defaultTimeout
 	if route.Timeout > 0 {
 		timeout = route.Timeout
--- a/transport/gateway/endpoint.go
+++ b/transport/gateway/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/zinniaroute/zinniaroute/coordination/gathering"
@@ -15,14 +16,12 @@
 )
 
 const (
-	// unloadedModelRetryAfter is the time after which a caller may retry a request for a model that no runner holds. It is
-	// about the time of a load.
-	unloadedModelRetryAfter = time.Second
+	// busyModelRetryAfter is the time after which a caller may retry a request for a model whose runners cannot take it.
+	busyModelRetryAfter = time.Second
 	// noEndpointRetryAfter is the time after which a caller may retry a request to a service without endpoints.
 	noEndpointRetryAfter = 500 * time.Millisecond
-	// unloadedModelTimeout is the longest wait of a request for a model that no runner holds. It covers the time of a plan
-	// and of a load.
-	unloadedModelTimeout = 2 * time.Second
+	// busyModelTimeout is the longest wait of a request for a model whose runners cannot take it.
+	busyModelTimeout = 2 * time.Second
 	// maxAdapterRequests is the largest number of adapter loads that a request asks for before it waits.
 	maxAdapterRequests = 3
 	// adapterCallTimeout is the time limit for the call to the owner of a runner, which waits for at most
@@ -34,7 +33,9 @@
 // control defers the request, while the adapter is loaded, and for a limited time while no runner holds the model.
 func (g *Gateway) chooseEndpoint(ctx context.Context, x *exchange) (dispatch.Choice, *lifecycle.NoEndpoint) {
 	excluded := x.machine.Excluded()
-	waitUntil := x.request.ArrivedAt.Add(min(unloadedModelTimeout, x.request.Deadline.Sub(x.request.ArrivedAt)/2))
+	waitUntil := x.request.ArrivedAt.Add(
+		min(busyModelTimeout, admission.Patience(&x.request), x.request.Deadline.Sub(x.request.ArrivedAt)/2),
+	)
 	software := ""
 	if x.binding != nil {
 		// The caller waits between two events, and the model may be placed on runners of another version.
@@ -52,6 +53,7 @@
 		runners := x.endpoints(g.directory.OfService(x.service), software)
 		choice, ok := g.scheduler.Choose(now, &x.request, runners, excluded)
 		restUntil, unavailable := g.scheduler.Unavailable(now, runners)
+		unloaded, isUnloaded := g.unloadedModel(now, x, runners)
 		syncAge := now.Sub(g.syncedAt)
 		changed := g.directoryChanged
 		g.mu.Unlock()
@@ -84,16 +86,66 @@
 			return choice, g.quarantineRefusal(clock.Now(), x)
 		case !ok && len(runners) > 0 && unavailable:
 			return choice, g.refuseUnavailable(now, x, len(runners), restUntil, syncAge)
+		case x.binding == nil && isUnloaded:
+			if d := admission.DecideUnloaded(now, &x.request, unloaded); !d.Deferred {
+				g.log.Emit(eventlog.NoEndpoint, x.request.ID, d.Reason, len(runners), syncAge.Milliseconds())
+				return choice, &lifecycle.NoEndpoint{Reason: d.Reason, RetryAfter: d.RetryAfter}
+			}
 		case x.request.Unit.Model == "" || len(runners) == 0 || !now.Before(waitUntil):
 			return choice, g.refuseWithoutEndpoint(x, len(runners), syncAge)
 		}
 		tried.adapters = 0
-		if !pause(ctx, changed, min(waitUntil.Sub(now), choiceRetryInterval)) {
+		if !pause(ctx, changed, choiceRetryInterval) {
 			return choice, g.refuseWithoutEndpoint(x, len(runners), syncAge)
 		}
 	}
 }
 
+// unloadedModel returns since when no runner holds the model of a request, and how long a load takes, or false if one holds
+// it or if it is not known when it will be loaded. The caller must hold the lock.
+func (g *Gateway) unloadedModel(now time.Time, x *exchange, runners []*fleet.Runner) (admission.Unloaded, bool) {
+	model := x.request.Unit.Model
+	key := serviceModel{x.service, model}
+	held, onDisk, inMemory := false, false, false
+	for _, r := range runners {
+		held = held || !r.Draining && r.Holdings.Has(fleet.Unit{Model: model})
+		onDisk = onDisk || !r.Draining && slices.Contains(r.OnDisk, model)
+		inMemory = inMemory || !r.Draining && slices.Contains(r.InMemory, model)
+	}
+	if held || model == "" || len(runners) == 0 {
+		delete(g.unloadedSince, key)
+		return admission.Unloaded{}, false
+	}
+	engine := g.engineOf(runners[0])
+	if engine == nil || engine.engine.Model(model) == nil {
+		return admission.Unloaded{}, false
+	}
+	missing := g.unloadedSince[key]
+	if now.Sub(missing.noticedAt) > missingGap {
+		missing.since = now
+	}
+	missing.noticedAt = now
+	g.unloadedSince[key] = missing
+	known := engine.engine.Model(model)
+	u := admission.Unloaded{Since: missing.since, LoadTime: known.LoadTime}
+	switch {
+	case inMemory:
+		u.LoadTime = known.HostLoadTime
+	case onDisk:
+		u.LoadTime = known.DiskLoadTime
+	}
+	return u, true
+}
+
+// serviceModel is a model of a service.
+type serviceModel struct{ service, model string }
+
+// missingModel is a model for which requests arrive and which no runner holds.
+type missingModel struct{ since, noticedAt time.Time }
+
+// missingGap is the time without requests for a missing model after which it may have been loaded unnoticed.
+const missingGap = 5 * time.Second
+
 // endpointTries counts what a request has asked for before it found an endpoint.
 type endpointTries struct{ adapters, permits int }
 
@@ -149,7 +201,7 @@
 
 func (g *Gateway) refuseWithoutEndpoint(x *exchange, runners int, syncAge time.Duration) *lifecycle.NoEndpoint {
 	refusal := &lifecycle.NoEndpoint{
-		Reason: "no endpoint holds " + x.request.Unit.String(), RetryAfter: unloadedModelRetryAfter,
+		Reason: "no endpoint holds " + x.request.Unit.String(), RetryAfter: busyModelRetryAfter,
 	}
 	switch {
 	case runners == 0 && x.binding != nil:
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -72,6 +72,8 @@
 	versions *origins.Versions
 	// unboundStreams holds the streams whose version has not been needed so far, by attempt.
 	unboundStreams map[string]*stream
+	// unloadedSince holds the models for which requests arrive and which no runner holds, as far as this VM knows.
+	unloadedSince map[serviceModel]missingModel
 	// unrecordedSince is since when a listed runner has a version that is not recorded, or zero.
 	unrecordedSince time.Time
 	// queuedOrigins are to be written to the store. originsQueued wakes the task that does so.
@@ -150,6 +152,7 @@
 		scheduler:        dispatch.NewScheduler(s.Domain),
 		origins:          origins.NewTable(),
 		versions:         origins.NewVersions(),
+		unloadedSince:    make(map[serviceModel]missingModel),
 		unboundStreams:   make(map[string]*stream),
 		offeredAt:        make(map[string]time.Time),
 		readingVersions:  make(chan struct{}, 1),
