End only the request or the call whose handling panics

Cause: neither the HTTP library nor drpc recovers a panic of a handler, so that one unexpected fault ended the process with all its requests.

Change: both servers recover; a response that has begun is broken off, any other answered with 500, and a peer's call fails. Event 106 and two counters tell of it. What a request decides under the gateway's lock is now in methods that release it by defer, so that a panic there does not leave it locked.

Measured: both new tests ended the test process before.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -338,6 +338,11 @@
 		},
 		"See docs/OPERATIONS.md.",
 	}
+	HandlerPanicked = Event{
+		106, logrus.ErrorLevel, "the handling of a request or of a peer's call panicked; only that one is ended",
+		[]string{"error", "stack"},
+		"Report the fault with the stack.",
+	}
 	LogLinesDropped = Event{
 		105, logrus.WarnLevel, "log lines dropped: rate limit exceeded or output too slow",
 		[]string{"lines"},
@@ -360,7 +365,7 @@
 		PeerUnreachable, RunnerReachabilityChanged, ControlUnreachable, StoreUnreachable, StoreReachable,
 		RunnerEntryChanged, RunnerEntryUnreadable,
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined,
-		RequestServed, RequestNotServed, LogLinesDropped,
+		RequestServed, RequestNotServed, LogLinesDropped, HandlerPanicked,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
 		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, OriginsNotStored, OriginUnconfirmed, RunnerLeaves, RunnerRests, VersionNotRecorded, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable, EntryIgnored, ContentReceived,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -34,6 +34,7 @@
 // peerHandlers returns the handlers of the calls that peers make.
 func (g *Gateway) peerHandlers() *rpc.Mux {
 	mux := rpc.NewMux()
+	mux.Panicked = func(cause error) { g.log.Emit(eventlog.HandlerPanicked, cause, "") }
 	rpc.Handle(mux, vm.CallExchange, func(_ context.Context, report *vm.Report) (*vm.Summary, error) {
 		if !g.hasContent() {
 			return nil, errNoContent
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -39,6 +39,7 @@
 func (g *Gateway) serveCallers(tasks *group.Group, listener net.Listener) {
 	bounds := httpserve.Bounds{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, ReadTimeout: readTimeout}
 	server := httpserve.NewServer(listener, bounds, false)
+	server.Panicked = func(cause error, stack []byte) { g.log.Emit(eventlog.HandlerPanicked, cause, string(stack)) }
 	server.NoRoute(g.serveRequest)
 	server.NoMethod(g.serveRequest)
 	server.Start(tasks, "callers")
--- a/transport/gateway/endpoint.go
+++ b/transport/gateway/endpoint.go
@@ -49,14 +49,8 @@
 		if refusal := g.quarantineRefusal(now, x); refusal != nil {
 			return dispatch.Choice{}, refusal
 		}
-		g.mu.Lock()
-		runners := x.endpoints(g.directory.OfService(x.service), software)
-		choice, ok := g.scheduler.Choose(now, &x.request, runners, excluded)
-		restUntil, unavailable := g.scheduler.Unavailable(now, runners)
-		unloaded, isUnloaded := g.unloadedModel(now, x, runners)
-		syncAge := now.Sub(g.syncedAt)
-		changed := g.directoryChanged
-		g.mu.Unlock()
+		o := g.options(now, x, software, excluded)
+		choice, ok := o.choice, o.ok
 		decision := admission.Decision{Admitted: true}
 		if ok && !x.machine.MayHaveRun() {
 			decision = admission.Decide(now, &x.request, choice.Prediction())
@@ -64,7 +58,7 @@
 		switch {
 		case decision.Deferred:
 			if !pause(ctx, nil, deferInterval) {
-				return choice, g.refuseWithoutEndpoint(x, len(runners), syncAge)
+				return choice, g.refuseWithoutEndpoint(x, o.runners, o.syncAge)
 			}
 			continue
 		case !decision.Admitted:
@@ -77,30 +71,59 @@
 		case ok && (!choice.AdapterNotLoaded || tried.adapters < maxAdapterRequests):
 			ready := g.prepareEndpoint(ctx, x, choice, &tried)
 			if ctx.Err() != nil {
-				return choice, g.refuseWithoutEndpoint(x, len(runners), syncAge)
+				return choice, g.refuseWithoutEndpoint(x, o.runners, o.syncAge)
 			}
 			if !ready || !g.stillEligible(x, choice, excluded) {
 				continue
 			}
 			g.recordAdapterUse(clock.Now(), choice.Runner.ID, x.request.Unit)
 			return choice, g.quarantineRefusal(clock.Now(), x)
-		case !ok && len(runners) > 0 && unavailable:
-			return choice, g.refuseUnavailable(now, x, len(runners), restUntil, syncAge)
-		case x.binding == nil && isUnloaded:
-			if d := admission.DecideUnloaded(now, &x.request, unloaded); !d.Deferred {
-				g.log.Emit(eventlog.NoEndpoint, x.request.ID, d.Reason, len(runners), syncAge.Milliseconds())
+		case !ok && o.runners > 0 && o.unavailable:
+			return choice, g.refuseUnavailable(now, x, o.runners, o.restUntil, o.syncAge)
+		case x.binding == nil && o.isUnloaded:
+			if d := admission.DecideUnloaded(now, &x.request, o.unloaded); !d.Deferred {
+				g.log.Emit(eventlog.NoEndpoint, x.request.ID, d.Reason, o.runners, o.syncAge.Milliseconds())
 				return choice, &lifecycle.NoEndpoint{Reason: d.Reason, RetryAfter: d.RetryAfter}
 			}
-		case x.request.Unit.Model == "" || len(runners) == 0 || !now.Before(waitUntil):
-			return choice, g.refuseWithoutEndpoint(x, len(runners), syncAge)
+		case x.request.Unit.Model == "" || o.runners == 0 || !now.Before(waitUntil):
+			return choice, g.refuseWithoutEndpoint(x, o.runners, o.syncAge)
 		}
 		tried.adapters = 0
-		if !pause(ctx, changed, choiceRetryInterval) {
-			return choice, g.refuseWithoutEndpoint(x, len(runners), syncAge)
+		if !pause(ctx, o.changed, choiceRetryInterval) {
+			return choice, g.refuseWithoutEndpoint(x, o.runners, o.syncAge)
 		}
 	}
 }
 
+// options is what is known of the endpoints for a request at a time.
+type options struct {
+	choice dispatch.Choice
+	// ok reports that there is a choice, and runners is the number of endpoints of which it is one.
+	ok      bool
+	runners int
+	// unavailable reports that all of them drain or rest, and restUntil is when the first rest ends, or zero.
+	unavailable bool
+	restUntil   time.Time
+	// isUnloaded reports that none of them holds the model, which unloaded describes.
+	isUnloaded bool
+	unloaded   admission.Unloaded
+	// syncAge is the age of the list of endpoints, and changed is closed when it changes.
+	syncAge time.Duration
+	changed <-chan struct{}
+}
+
+// options returns the options of a request. The software is the version that a stream must go on at.
+func (g *Gateway) options(now time.Time, x *exchange, software string, excluded []string) options {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	runners := x.endpoints(g.directory.OfService(x.service), software)
+	o := options{runners: len(runners), syncAge: now.Sub(g.syncedAt), changed: g.directoryChanged}
+	o.choice, o.ok = g.scheduler.Choose(now, &x.request, runners, excluded)
+	o.restUntil, o.unavailable = g.scheduler.Unavailable(now, runners)
+	o.unloaded, o.isUnloaded = g.unloadedModel(now, x, runners)
+	return o
+}
+
 // unloadedModel returns since when no runner holds the model of a request, and how long a load takes, or false if one holds
 // it or if it is not known when it will be loaded. The caller must hold the lock.
 func (g *Gateway) unloadedModel(now time.Time, x *exchange, runners []*fleet.Runner) (admission.Unloaded, bool) {
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -103,11 +103,7 @@
 func (x *exchange) Send(ctx context.Context) lifecycle.Event {
 	now := clock.Now()
 	g := x.gateway
-	g.mu.Lock()
-	x.inFlight = g.scheduler.RecordSent(now, &x.request, x.choice)
-	x.beginRun(now)
-	g.mu.Unlock()
-	x.sentAt = now
+	x.recordSent(now)
 	send := platform.RequestHeaders{
 		Runner:  x.choice.Runner.ID,
 		Timeout: x.request.Deadline.Sub(now) - deadlineMargin,
@@ -128,13 +124,31 @@
 	return x.handleResponse(ctx)
 }
 
+func (x *exchange) recordSent(now time.Time) {
+	x.gateway.mu.Lock()
+	defer x.gateway.mu.Unlock()
+	x.inFlight = x.gateway.scheduler.RecordSent(now, &x.request, x.choice)
+	x.beginRun(now)
+	x.sentAt = now
+}
+
 // urgency returns the urgency of the request for the runner, from 3 to 9. The runner admits lower values first.
 func (x *exchange) urgency() int { return min(9, 3+x.request.Priority) }
 
 func (x *exchange) handleCallFailure(ctx context.Context, err error) lifecycle.Event {
-	now := clock.Now()
 	sent := httpcall.WasSent(err)
+	x.recordCallFailure(ctx, sent, err)
+	x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, sent, err)
+	if sent {
+		return lifecycle.Lost{}
+	}
+	return lifecycle.Unreachable{}
+}
+
+func (x *exchange) recordCallFailure(ctx context.Context, sent bool, err error) {
+	now := clock.Now()
 	x.gateway.mu.Lock()
+	defer x.gateway.mu.Unlock()
 	if sent {
 		x.failRun(ctx, now, err)
 	} else {
@@ -148,12 +162,6 @@
 	default:
 		x.gateway.scheduler.RecordUnreachable(now, x.inFlight)
 	}
-	x.gateway.mu.Unlock()
-	x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, sent, err)
-	if sent {
-		return lifecycle.Lost{}
-	}
-	return lifecycle.Unreachable{}
 }
 
 func (x *exchange) handleResponse(ctx context.Context) lifecycle.Event {
--- /dev/null
+++ b/transport/httpserve/panic_test.go
@@ -0,0 +1,51 @@
+package httpserve
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"gotest.tools/v3/assert"
+
+	"github.com/zinniaroute/zinniaroute/transport/group"
+)
+
+// An unexpected fault in the handling of one request must not end the process.
+func TestPanicInAHandlerEndsOneRequestOnly(t *testing.T) {
+	DisableLibraryLog()
+	listener, err := Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	server := NewServer(listener, DefaultBounds(), false)
+	server.GET("/panic", func(context.Context, *app.RequestContext) { panic("fault") })
+	server.GET("/begun", func(_ context.Context, c *app.RequestContext) {
+		writer := resp.NewChunkedBodyWriter(&c.Response, c.GetWriter())
+		c.Response.HijackWriter(writer)
+		_, _ = writer.Write([]byte("a part"))
+		_ = writer.Flush()
+		panic("fault")
+	})
+	server.GET("/sound", func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(http.StatusOK) })
+	tasks, err := group.New(t.Context())
+	assert.NilError(t, err)
+	server.Start(tasks, "server")
+	for range 3 {
+		response, err := http.Get("http://" + listener.Addr().String() + "/panic")
+		if err == nil {
+			assert.Check(t, response.StatusCode == http.StatusInternalServerError, "status %d", response.StatusCode)
+			_ = response.Body.Close()
+		}
+		response, err = http.Get("http://" + listener.Addr().String() + "/begun")
+		assert.NilError(t, err)
+		_, err = io.ReadAll(response.Body)
+		assert.Check(t, err != nil, "a response that broke off looks complete")
+		_ = response.Body.Close()
+		response, err = http.Get("http://" + listener.Addr().String() + "/sound")
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		_ = response.Body.Close()
+	}
+	assert.NilError(t, tasks.Stop())
+}
--- a/transport/httpserve/server.go
+++ b/transport/httpserve/server.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"net/netip"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network"
@@ -41,8 +43,15 @@
 type Server struct {
 	*server.Hertz
 	listener net.Listener
+	// Panicked, if set, is told of handlers that panicked. It must be set before Start.
+	Panicked func(cause error, stack []byte)
 }
 
+const statusInternalError = 500
+
+// handlerPanics counts the requests whose handlers panicked.
+var handlerPanics = expvar.NewInt("handlerPanics")
+
 // DisableLibraryLog disables the log of the HTTP library in the whole process, except for fatal errors. It must be
 // called before the first server starts.
 func DisableLibraryLog() { hlog.SetLevel(hlog.LevelFatal) }
@@ -75,7 +84,23 @@
 		server.WithDisableDefaultContentType(true),
 		server.WithRedirectTrailingSlash(false),
 	)
-	return &Server{Hertz: hertz, listener: listener}
+	s := &Server{Hertz: hertz, listener: listener}
+	hertz.Use(recovery.Recovery(recovery.WithRecoveryHandler(s.recover)))
+	return s
+}
+
+// recover ends the request whose handler panicked. A response that has begun must not look complete.
+func (s *Server) recover(_ context.Context, c *app.RequestContext, cause any, stack []byte) {
+	handlerPanics.Add(1)
+	if s.Panicked != nil {
+		s.Panicked(errors.Errorf("panic: %v", cause), stack)
+	}
+	if c.Response.GetHijackWriter() != nil {
+		_ = c.GetConn().Close()
+		return
+	}
+	c.SetConnectionClose()
+	c.AbortWithStatus(statusInternalError)
 }
 
 // Address returns the address on which the server listens.
--- /dev/null
+++ b/transport/rpc/panic_test.go
@@ -0,0 +1,41 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/zinniaroute/zinniaroute/transport/group"
+)
+
+type number struct {
+	Value int `cbor:"1,keyasint"`
+}
+
+func TestPanicInACallEndsThatCallOnly(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	mux := NewMux()
+	told := make(chan error, 3)
+	mux.Panicked = func(cause error) { told <- cause }
+	Handle(mux, "/panic", func(context.Context, *number) (*number, error) { panic("fault") })
+	Handle(mux, "/sound", func(_ context.Context, q *number) (*number, error) { return q, nil })
+	tasks, err := group.New(t.Context())
+	assert.NilError(t, err)
+	mux.Start(tasks, listener)
+	client := NewClient(netip.MustParseAddrPort(listener.Addr().String()), nil)
+	for range 3 {
+		_, err = Call[number, number](t.Context(), client, "/panic", &number{1}, time.Second)
+		assert.ErrorContains(t, err, "fault")
+		answer, err := Call[number, number](t.Context(), client, "/sound", &number{2}, time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Value, 2)
+	}
+	assert.Equal(t, len(told), 3)
+	client.Close()
+	assert.NilError(t, tasks.Stop())
+}
--- a/transport/rpc/server.go
+++ b/transport/rpc/server.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
+	"runtime/debug"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc"
@@ -19,20 +21,34 @@
 // Mux dispatches calls to handlers by name.
 type Mux struct {
 	handlers map[string]handler
+	// Panicked, if set, is told of handlers that panicked. It must be set before Start.
+	Panicked func(cause error)
 }
 
 // NewMux returns a mux without handlers. Handle and HandleStream register them, before Start.
 func NewMux() *Mux { return &Mux{handlers: make(map[string]handler)} }
 
-// HandleRPC runs the handler that is registered for a name. It fails if there is none.
-func (m *Mux) HandleRPC(stream drpc.Stream, name string) error {
+// HandleRPC runs the handler that is registered for a name. It fails if there is none, or if the handler panics.
+func (m *Mux) HandleRPC(stream drpc.Stream, name string) (err error) {
 	handle, ok := m.handlers[name]
 	if !ok {
 		return errors.Errorf("unknown call %s", name)
 	}
+	defer func() {
+		if cause := recover(); cause != nil {
+			callPanics.Add(1)
+			err = errors.Errorf("call %s: panic: %v", name, cause)
+			if m.Panicked != nil {
+				m.Panicked(errors.WithMessage(err, string(debug.Stack())))
+			}
+		}
+	}()
 	return handle(stream)
 }
 
+// callPanics counts the calls whose handlers panicked.
+var callPanics = expvar.NewInt("callPanics")
+
 // Handle registers the handler of a call that has one request and one response.
 func Handle[Q, A any](m *Mux, name string, answer func(ctx context.Context, request *Q) (*A, error)) {
 	m.handlers[name] = func(stream drpc.Stream) error {
