Refuse requests that wait when the process stops

Change: a request that waits when the process stops is refused at once, not run, and its caller goes on at another VM, which can wait.

--- a/transport/gateway/endpoint.go
+++ b/transport/gateway/endpoint.go
@@ -88,6 +88,10 @@
 		case x.request.Unit.Model == "" || o.runners == 0 || !now.Before(waitUntil):
 			return choice, g.refuseWithoutEndpoint(x, o.runners, o.syncAge)
 		}
+		if g.stopping.Load() {
+			// The wait may exceed the time that is left to this process, and another VM can go on with it.
+			return choice, g.refuseStopping(x, o)
+		}
 		tried.adapters = 0
 		if !pause(ctx, o.changed, choiceRetryInterval) {
 			return choice, g.refuseWithoutEndpoint(x, o.runners, o.syncAge)
@@ -259,6 +263,15 @@
 	return refusal
 }
 
+// refuseStopping refuses a request that waits while the process stops. The caller may go to another VM at once.
+func (g *Gateway) refuseStopping(x *exchange, o options) *lifecycle.NoEndpoint {
+	refusal := &lifecycle.NoEndpoint{
+		Reason: "the process stops, and no endpoint takes " + x.request.Unit.String(), RetryAfter: time.Millisecond,
+	}
+	g.log.Emit(eventlog.NoEndpoint, x.request.ID, refusal.Reason, o.runners, o.syncAge.Milliseconds())
+	return refusal
+}
+
 // recordAdapterUse records the use of an adapter on a runner, which delays its eviction.
 func (g *Gateway) recordAdapterUse(now time.Time, runner string, unit fleet.Unit) {
 	if unit.Adapter == "" {
