--- a/transport/gateway/software.go
+++ b/transport/gateway/software.go
@@ -67,34 +67,31 @@
 	g.unboundStreams[s.attempt] = s
 }
 
-// bindStream finds out at which version a stream has begun, and stores it. The runner's report confirms that it has not
-// started again with another version since its entry was read.
+// bindStream binds a stream to the version of its runner's entry if the runner's report confirms that it has not started
+// again with another version since the entry was read.
 func (g *Gateway) bindStream(ctx context.Context, s *stream) {
-	s.binding.once.Do(func() {
-		defer close(s.binding.done)
-		if err := g.confirmIncarnation(ctx, s.runner); err != nil {
-			streamRecords.Add("unconfirmed", 1)
-			g.log.Emit(eventlog.OriginUnconfirmed, s.attempt, s.runner.ID, s.runner.Software, err)
-			return
+	g.bindIf(s, func() error { return g.confirmIncarnation(ctx, s.runner) })
+}
+
+// bindNow binds a stream whose runner may be gone: to the only version that the service has, or as bindStream does. The
+// version is needed also if the caller leaves, since it may come back.
+func (g *Gateway) bindNow(ctx context.Context, s *stream) {
+	ctx = context.WithoutCancel(ctx)
+	g.bindIf(s, func() error {
+		software, err := g.soleVersion(ctx, s.service, clock.Now())
+		if err == nil && software == s.runner.Software {
+			return nil
 		}
-		s.binding.software = s.runner.Software
-		g.recordOrigin(clock.Now(), s)
+		return g.confirmIncarnation(ctx, s.runner)
 	})
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.unboundStreams, s.attempt)
 }
 
-// bindNow finds out at which version a stream has begun whose runner may be gone: the only version that the service has, or
-// that of the runner's report.
-func (g *Gateway) bindNow(ctx context.Context, s *stream) {
+// bindIf binds a stream to the version of its runner's entry unless confirm returns an error. It does so once, and waits
+// for a binding that is under way.
+func (g *Gateway) bindIf(s *stream, confirm func() error) {
 	s.binding.once.Do(func() {
 		defer close(s.binding.done)
-		software, err := g.soleVersion(ctx, s.service, clock.Now())
-		if err != nil || software != s.runner.Software {
-			err = g.confirmIncarnation(ctx, s.runner)
-		}
-		if err != nil {
+		if err := confirm(); err != nil {
 			streamRecords.Add("unconfirmed", 1)
 			g.log.Emit(eventlog.OriginUnconfirmed, s.attempt, s.runner.ID, s.runner.Software, err)
 			return
