Wait for a load only until it is late by its own time

Change: a load that is late by its own time, a second at least, is given up: requests are rejected at once. The test of requests that wait at a stop names a load of six seconds, so that it still fails without the refusal.

--- a/integration/gateway_stop_test.go
+++ b/integration/gateway_stop_test.go
@@ -17,6 +17,8 @@
 func TestGatewayThatStopsCutsRequestsThatWait(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t)
+	d.loadS = 6
+	d.configure(2, 10_000)
 	d.addRunnerWith(modelrunner.Options{
 		ID: "r1", Service: modelService, Domain: "a", MemoryMB: 200, ModelMB: 80, AdapterSlots: 2, LoadTime: time.Minute,
 		StreamEvents: 5, Pause: 20 * time.Millisecond, Models: []modelrunner.Model{{Name: "large", Version: 1, Adapters: []string{}}},
--- a/state/admission/unloaded.go
+++ b/state/admission/unloaded.go
@@ -17,6 +17,9 @@
 	patienceMargin = 150 * time.Millisecond
 	// planTime is the time from the loss of a model's last replica to the order for a load.
 	planTime = 500 * time.Millisecond
+	// minOverdue is the shortest time by which a load may be late before it is not waited for any more. A load that is late
+	// by its own time has failed, or there is no room for the model.
+	minOverdue = time.Second
 	// overdueRetryAfter is the time after which a caller may retry if a load is overdue.
 	overdueRetryAfter = time.Second
 )
@@ -40,12 +43,13 @@
 }
 
 // DecideUnloaded decides on a request for a model that no runner holds. It stays in the queue if the model is expected to be
-// loaded while its caller waits. Otherwise it is rejected at once, with the time after which the model is expected to be
+// loaded while its caller waits, and the load is not long overdue. Otherwise it is rejected at once, with the time after which the model is expected to be
 // there: a caller that has waited in vain has less time left to come back.
 func DecideUnloaded(now time.Time, r *fleet.Request, u Unloaded) Decision {
 	patienceEnd := r.ArrivedAt.Add(Patience(r))
 	loadedAt := u.Since.Add(planTime + u.LoadTime)
-	if now.Before(patienceEnd) && !loadedAt.After(patienceEnd) {
+	givenUpAt := loadedAt.Add(max(minOverdue, u.LoadTime))
+	if now.Before(patienceEnd) && now.Before(givenUpAt) && !loadedAt.After(patienceEnd) {
 		return Decision{Deferred: true, Reason: "the model is being loaded"}
 	}
 	retryAfter := overdueRetryAfter
