--- a/state/admission/unloaded.go
+++ b/state/admission/unloaded.go
@@ -43,8 +43,8 @@
 }
 
 // DecideUnloaded decides on a request for a model that no runner holds. It stays in the queue if the model is expected to be
-// loaded while its caller waits, and the load is not long overdue. Otherwise it is rejected at once, with the time after which the model is expected to be
-// there: a caller that has waited in vain has less time left to come back.
+// loaded while its caller waits, and the load is not long overdue. Otherwise it is rejected at once, with the time after
+// which the model is expected: a caller that has waited in vain has less time left to come back.
 func DecideUnloaded(now time.Time, r *fleet.Request, u Unloaded) Decision {
 	patienceEnd := r.ArrivedAt.Add(Patience(r))
 	loadedAt := u.Since.Add(planTime + u.LoadTime)
