--- a/transport/httpserve/server.go
+++ b/transport/httpserve/server.go
@@ -96,7 +96,11 @@
 		s.Panicked(errors.Errorf("panic: %v", cause), stack)
 	}
 	if c.Response.GetHijackWriter() != nil {
-		_ = c.GetConn().Close()
+		// The server ends its read of the connection itself only if the response was written.
+		if detector, ok := c.GetConn().(closeDetector); ok && !c.Request.IsBodyStream() {
+			detector.AbortBlockingRead()
+		}
+		c.Response.HijackWriter(brokenWriter{})
 		return
 	}
 	c.SetConnectionClose()
@@ -126,6 +130,20 @@
 	_ = s.listener.Close()
 }
 
+var errBrokenOff = errors.New("the response is broken off")
+
+// brokenWriter makes the server close the connection in place of ending the response.
+type brokenWriter struct{}
+
+// Write always fails.
+func (brokenWriter) Write([]byte) (int, error) { return 0, errBrokenOff }
+
+// Flush always fails.
+func (brokenWriter) Flush() error { return errBrokenOff }
+
+// Finalize always fails.
+func (brokenWriter) Finalize() error { return errBrokenOff }
+
 type closeDetector interface {
 	DetectConnectionClose()
 	AbortBlockingRead()
