--- a/integration/gateway_harness_test.go
+++ b/integration/gateway_harness_test.go
@@ -85,9 +85,15 @@
 func (d *deployment) startLinkProxy(target netip.AddrPort) (*proxy.Proxy, netip.AddrPort) {
 	d.t.Helper()
 	p := proxy.New(target)
+	return p, d.startProxy(p)
+}
+
+// startProxy starts a proxy and returns its address.
+func (d *deployment) startProxy(p *proxy.Proxy) netip.AddrPort {
+	d.t.Helper()
 	listener := listen(d.t)
 	p.Start(d.group, listener, listen(d.t))
-	return p, netip.MustParseAddrPort(listener.Addr().String())
+	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
 // configure writes a configuration with the routes of the tests, all with one timeout, and with further routes.
@@ -140,7 +146,9 @@
 
 func (d *deployment) addRunnerWith(options modelrunner.Options) *modelrunner.Runner {
 	listener := listen(d.t)
-	d.runnerLinks[options.ID], options.Address = d.startLinkProxy(netip.MustParseAddrPort(listener.Addr().String()))
+	link := proxy.New(netip.MustParseAddrPort(listener.Addr().String()))
+	link.Identify = d.processAt
+	d.runnerLinks[options.ID], options.Address = link, d.startProxy(link)
 	runner := modelrunner.New(options)
 	runner.Start(d.group, listener)
 	d.runners[options.ID] = runner
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -74,6 +74,8 @@
 	vmListAddress   netip.AddrPort
 	domains         []string
 	processes       map[string]*process
+	// processIDs holds the process ID of each process by its name, for tasks that run beside the test.
+	processIDs sync.Map
 	vmNodes         []vmNode
 	catalog         catalog.Set
 	vmList          []platform.TargetGroup
@@ -154,6 +156,7 @@
 	assert.NilError(s.t, command.Start())
 	p := &process{name: name, command: command, log: log}
 	s.processes[name] = p
+	s.processIDs.Store(name, command.Process.Pid)
 	return p
 }
 
--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,20 +48,43 @@
 	Duplicate bool `json:"duplicate,omitempty"`
 	// DuplicateDelay is the delay of a duplicate.
 	DuplicateDelay document.Duration `json:"late,omitzero"`
+	// RefuseNew resets each new connection and leaves the open ones alone.
+	RefuseNew bool `json:"refuseNew,omitempty"`
+	// Only holds the names of the callers to whose connections the faults are limited, as Identify returns them. An empty
+	// one means all connections.
+	Only []string `json:"-"`
+}
+
+// of returns the faults of a connection.
+func (f Faults) of(l *link) Faults {
+	if len(f.Only) == 0 || slices.Contains(f.Only, l.name()) {
+		return f
+	}
+	return Faults{}
+}
+
+// link is a connection of a caller, and the one to the target.
+type link struct {
+	caller, target net.Conn
+	// name returns the name of the caller.
+	name func() string
 }
 
 // Proxy forwards connections to one target.
 type Proxy struct {
 	target netip.AddrPort
 	group  *group.Group
-	mu     sync.Mutex
-	faults Faults
-	conns  map[net.Conn]bool
+	// Identify returns the name of the caller that has opened a connection between two addresses. It is nil if callers have
+	// no names, and must be set before Start.
+	Identify func(caller, proxy netip.AddrPort) string
+	mu       sync.Mutex
+	faults   Faults
+	links    map[*link]bool
 }
 
 // New returns a proxy without faults.
 func New(target netip.AddrPort) *Proxy {
-	return &Proxy{target: target, conns: make(map[net.Conn]bool)}
+	return &Proxy{target: target, links: make(map[*link]bool)}
 }
 
 // Start forwards the connections of a listener and serves FaultsPath on the admin listener, in the group.
@@ -94,25 +118,41 @@
 	if !faults.Disconnect {
 		return
 	}
-	for conn := range p.conns {
-		_ = conn.Close()
+	for l := range p.links {
+		if faults.of(l).Disconnect {
+			_ = l.caller.Close()
+			_ = l.target.Close()
+		}
 	}
 }
 
-func (p *Proxy) current() Faults {
+// current returns the faults of a connection.
+func (p *Proxy) current(l *link) Faults {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.faults
+	faults := p.faults
+	p.mu.Unlock()
+	return faults.of(l)
 }
 
-func (p *Proxy) trackConn(conn net.Conn, open bool) {
+func (p *Proxy) track(l *link, open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if open {
-		p.conns[conn] = true
+		p.links[l] = true
 		return
 	}
-	delete(p.conns, conn)
+	delete(p.links, l)
+}
+
+func (p *Proxy) newLink(caller net.Conn) *link {
+	return &link{caller: caller, name: sync.OnceValue(func() string {
+		remote, isTCP := caller.RemoteAddr().(*net.TCPAddr)
+		local, _ := caller.LocalAddr().(*net.TCPAddr)
+		if !isTCP || p.Identify == nil {
+			return ""
+		}
+		return p.Identify(remote.AddrPort(), local.AddrPort())
+	})}
 }
 
 func (p *Proxy) accept(ctx context.Context, listener net.Listener) error {
@@ -124,25 +164,38 @@
 		if err != nil {
 			return err
 		}
-		if p.current().Disconnect {
+		l := p.newLink(conn)
+		switch faults := p.current(l); {
+		case faults.Disconnect:
 			_ = conn.Close()
 			continue
+		case faults.RefuseNew:
+			reset(conn)
+			continue
 		}
-		p.group.Run("proxy connection", func(ctx context.Context) { p.serve(ctx, conn) })
+		p.group.Run("proxy connection", func(ctx context.Context) { p.serve(ctx, l) })
 	}
 }
 
-func (p *Proxy) serve(ctx context.Context, callerConn net.Conn) {
+// reset closes a connection with a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+func (p *Proxy) serve(ctx context.Context, l *link) {
+	callerConn := l.caller
 	defer func() { _ = callerConn.Close() }()
 	targetConn, err := net.DialTimeout("tcp", p.target.String(), dialTimeout)
 	if err != nil {
 		return
 	}
 	defer func() { _ = targetConn.Close() }()
-	for _, conn := range []net.Conn{callerConn, targetConn} {
-		p.trackConn(conn, true)
-		defer p.trackConn(conn, false)
-	}
+	l.target = targetConn
+	p.track(l, true)
+	defer p.track(l, false)
 	stop := context.AfterFunc(ctx, func() {
 		_ = callerConn.Close()
 		_ = targetConn.Close()
@@ -151,33 +204,33 @@
 	done := make(chan struct{})
 	p.group.Run("proxy to target", func(ctx context.Context) {
 		defer close(done)
-		p.forwardToTarget(ctx, callerConn, targetConn)
+		p.forwardToTarget(ctx, l)
 		// Closing the connection shows the target that the caller has disconnected.
 		_ = targetConn.Close()
 	})
-	p.forwardToCaller(ctx, targetConn, callerConn)
+	p.forwardToCaller(ctx, l)
 	_ = callerConn.Close()
 	_ = targetConn.Close()
 	<-done
 }
 
 // forwardToTarget forwards the data of a caller to the target and sends it a second time if Duplicate is set.
-func (p *Proxy) forwardToTarget(ctx context.Context, from, to net.Conn) {
+func (p *Proxy) forwardToTarget(ctx context.Context, l *link) {
 	var sent []byte
-	p.forward(ctx, from, to, func(f Faults, data []byte) bool {
+	p.forward(ctx, l, l.caller, l.target, func(f Faults, data []byte) bool {
 		if f.Duplicate {
 			sent = append(sent, data...)
 		}
-		return p.holdCallerData(ctx, from)
+		return p.holdCallerData(ctx, l)
 	})
 	if len(sent) > 0 {
-		p.sendDuplicate(ctx, sent)
+		p.sendDuplicate(ctx, l, sent)
 	}
 }
 
 // sendDuplicate sends data to the target again, on a new connection, and discards the answer.
-func (p *Proxy) sendDuplicate(ctx context.Context, data []byte) {
-	group.Sleep(ctx, p.current().DuplicateDelay.Duration)
+func (p *Proxy) sendDuplicate(ctx context.Context, l *link, data []byte) {
+	group.Sleep(ctx, p.current(l).DuplicateDelay.Duration)
 	conn, err := net.DialTimeout("tcp", p.target.String(), dialTimeout)
 	if err != nil {
 		return
@@ -191,12 +244,12 @@
 }
 
 // forwardToCaller forwards the data of the target to the caller. It stops when the answer is to be dropped.
-func (p *Proxy) forwardToCaller(ctx context.Context, from, to net.Conn) {
-	p.forward(ctx, from, to, func(f Faults, data []byte) bool {
+func (p *Proxy) forwardToCaller(ctx context.Context, l *link) {
+	p.forward(ctx, l, l.target, l.caller, func(f Faults, data []byte) bool {
 		if f.DropAnswers > 0 && p.consumeDrop() {
 			return false
 		}
-		p.waitWhileFrozen(ctx, func(f Faults) bool { return f.Freeze || f.FreezeDown })
+		p.waitWhileFrozen(ctx, l, func(f Faults) bool { return f.Freeze || f.FreezeDown })
 		if f.BytesPerSecond > 0 {
 			group.Sleep(ctx, time.Duration(len(data))*time.Second/time.Duration(f.BytesPerSecond))
 		}
@@ -214,12 +267,13 @@
 	return true
 }
 
-func (p *Proxy) forward(ctx context.Context, from, to net.Conn, filter func(f Faults, data []byte) bool) {
+// forward copies data of a link until a connection or the filter ends it.
+func (p *Proxy) forward(ctx context.Context, l *link, from, to net.Conn, filter func(f Faults, data []byte) bool) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			faults := p.current()
+			faults := p.current(l)
 			group.Sleep(ctx, faults.Delay.Duration)
 			if !filter(faults, buffer[:n]) {
 				return
@@ -237,9 +291,9 @@
 // holdCallerData waits while the direction to the target is frozen. It returns false if the caller closes or resets the
 // connection meanwhile. The data that the caller has sent is then dropped, as a kernel drops unacknowledged data. It
 // also returns false if the caller sends more data during a freeze, which closes the connection.
-func (p *Proxy) holdCallerData(ctx context.Context, from net.Conn) bool {
-	buffer := make([]byte, 1)
-	for f := p.current(); (f.Freeze || f.FreezeUp) && ctx.Err() == nil; f = p.current() {
+func (p *Proxy) holdCallerData(ctx context.Context, l *link) bool {
+	from, buffer := l.caller, make([]byte, 1)
+	for f := p.current(l); (f.Freeze || f.FreezeUp) && ctx.Err() == nil; f = p.current(l) {
 		_ = from.SetReadDeadline(time.Now().Add(freezePollInterval))
 		_, err := from.Read(buffer)
 		var timeout net.Error
@@ -252,8 +306,8 @@
 }
 
 // waitWhileFrozen waits while frozen returns true for the current faults.
-func (p *Proxy) waitWhileFrozen(ctx context.Context, frozen func(f Faults) bool) {
-	for frozen(p.current()) && ctx.Err() == nil {
+func (p *Proxy) waitWhileFrozen(ctx context.Context, l *link, frozen func(f Faults) bool) {
+	for frozen(p.current(l)) && ctx.Err() == nil {
 		group.Sleep(ctx, freezePollInterval)
 	}
 }
