Forward requests through another VM while the path to the runners is lost

Cause: a gateway reaches runners by its own connections only. The VM tries one runner after another, 300 ms each, and refuses. Ruled out: orders of runners that cut VMs own (the others serve), and the choice among connections that live on (147 of 156 failures are timeouts of new ones).

If none answers, its path is lost: it forwards requests to a VM that has one, once, and checks the path until a runner answers. Exchanges carry who has lost the path.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -108,7 +108,9 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryLimitFraction * (1 << 20)))
 	signals, stop := stopSignals()
 	defer stop()
-	listeners, err := httpserve.ListenAll([]netip.AddrPort{s.Callers, s.Readiness, s.PeerAddress(), s.OperationsAddress()})
+	listeners, err := httpserve.ListenAll([]netip.AddrPort{
+		s.Callers, s.Readiness, s.PeerAddress(), s.OperationsAddress(), s.ForwardAddress(),
+	})
 	if err != nil {
 		return err
 	}
@@ -119,7 +121,7 @@
 	log := eventlog.NewBounded(os.Stdout, logrus.InfoLevel, "gateway/"+s.Name, s.Domain, logBudget)
 	g.Start("write log", log.Run)
 	process := gateway.New(clock.Now(), s, log)
-	process.Start(g, listeners[0], listeners[1], listeners[2], listeners[3])
+	process.Start(g, listeners[0], listeners[1], listeners[2], listeners[3], listeners[4])
 	g.Start("reload settings", func(ctx context.Context) error { return followSettings(ctx, path, s, process, log) })
 	waitForStop(signals, g, process.StopRequested())
 	aborted := process.Drain(g.Context())
--- a/coordination/gathering/reports.go
+++ b/coordination/gathering/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/zinniaroute/zinniaroute/state/allocation"
@@ -23,6 +24,8 @@
 	AdapterUsedAt map[RunnerUnit]time.Time
 	// Owned are the runners that the VM owns.
 	Owned map[string]OwnedRunner
+	// PathLost reports that the VM has lost its path to the runners.
+	PathLost bool
 }
 
 // RunnerUnit is a unit on a runner.
@@ -167,6 +170,18 @@
 	return all
 }
 
+// LostPaths returns the VMs that have lost their path to the runners, in order.
+func (r *Reports) LostPaths(now time.Time) []string {
+	var vms []string
+	r.eachLive(now, func(vm string, report *Report) {
+		if report.PathLost {
+			vms = append(vms, vm)
+		}
+	})
+	slices.Sort(vms)
+	return vms
+}
+
 // AdapterUsedAt returns when any VM but one last used each unit with an adapter, on the runners that owned selects.
 func (r *Reports) AdapterUsedAt(
 	now time.Time, except string, owned func(runner string) bool,
--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -319,6 +319,21 @@
 		[]string{"request", "runner", "restMs"},
 		"Check the runner's load if it recurs.",
 	}
+	PathChanged = Event{
+		528, logrus.WarnLevel, "this VM lost its path to the runners, or has it back; without it other VMs serve its callers",
+		[]string{"lost", "checked", "lostMs"},
+		"Check the network between this VM and the runners.",
+	}
+	RequestForwarded = Event{
+		529, logrus.InfoLevel, "request forwarded to another VM",
+		[]string{"request", "peer", "outcome", "ms", "error"},
+		"See event 528 of this VM.",
+	}
+	ForwardDeclined = Event{
+		530, logrus.InfoLevel, "request that another VM forwarded was not taken; that VM asks others",
+		[]string{"request", "reason"},
+		"Nothing.",
+	}
 	SettingsReloaded = Event{
 		104, logrus.InfoLevel, "settings reloaded",
 		[]string{"changed", "error"},
@@ -351,7 +366,7 @@
 )
 
 // routine holds the numbers of events of normal operation, which are dropped first under load.
-var routine = []int{503, 506, 507, 308, 309, 312}
+var routine = []int{503, 506, 507, 308, 309, 312, 529, 530}
 
 // Routine reports whether an event belongs to normal operation and counts against the budget for routine lines.
 func (e Event) Routine() bool { return slices.Contains(routine, e.Number) }
@@ -368,6 +383,7 @@
 		RequestServed, RequestNotServed, LogLinesDropped, HandlerPanicked,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
 		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, OriginsNotStored, OriginUnconfirmed, RunnerLeaves, RunnerRests, VersionNotRecorded, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable, EntryIgnored, ContentReceived,
+		PathChanged, RequestForwarded, ForwardDeclined,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- a/integration/gateway_harness_test.go
+++ b/integration/gateway_harness_test.go
@@ -200,10 +200,9 @@
 // startGateway starts a gateway and does not wait until it is ready.
 func (d *deployment) startGateway(name string) gatewayNode {
 	d.t.Helper()
-	first := freeAddress(d.t)
-	second := freeAddress(d.t)
-	for second.Port() != first.Port()+1 {
-		first, second = second, freeAddress(d.t)
+	first, second, third := freeAddress(d.t), freeAddress(d.t), freeAddress(d.t)
+	for third.Port() != first.Port()+2 {
+		first, second, third = second, third, freeAddress(d.t)
 	}
 	node := gatewayNode{
 		callers: freeAddress(d.t), readiness: freeAddress(d.t), operations: second,
@@ -211,7 +210,7 @@
 	}
 	link, storeAddress := d.startLinkProxy(d.storeAddress)
 	d.storeLinks[name] = link
-	text := fmt.Sprintf(settingsText, name, node.callers, node.readiness, first.Port(), second.Port(), storeAddress)
+	text := fmt.Sprintf(settingsText, name, node.callers, node.readiness, first.Port(), third.Port(), storeAddress)
 	assert.NilError(d.t, os.WriteFile(node.settings, []byte(text), 0o600))
 	d.gateways[name] = node
 	d.startProcess(name, "gateway", "--settings", node.settings)
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -76,9 +76,9 @@
 	processes       map[string]*process
 	// processIDs holds the process ID of each process by its name, for tasks that run beside the test.
 	processIDs sync.Map
-	vmNodes         []vmNode
-	catalog         catalog.Set
-	vmList          []platform.TargetGroup
+	vmNodes    []vmNode
+	catalog    catalog.Set
+	vmList     []platform.TargetGroup
 }
 
 // vmNode is one entry VM with its two processes.
--- /dev/null
+++ b/protocol/vm/forward.go
@@ -0,0 +1,84 @@
+package vm
+
+import (
+	"net/netip"
+	"strconv"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+)
+
+// The headers of requests that one VM forwards to another over HTTP, and of the answers.
+const (
+	headerForwardCaller        = "Zinniaroute-Forward-Caller"
+	headerForwardRuns          = "Zinniaroute-Forward-Runs"
+	headerForwardConfiguration = "Zinniaroute-Forward-Configuration"
+	headerForwardOutcome       = "Zinniaroute-Forward-Outcome"
+)
+
+// Forward describes a request that a VM without a path to the runners forwards to another VM.
+type Forward struct {
+	// Caller is the address of the caller, or the zero address if it is unknown.
+	Caller netip.Addr
+	// Runs is the number of runners that may still run the request.
+	Runs int
+	// Configuration is the version of the configuration that routed the request.
+	Configuration uint64
+}
+
+// Write adds the description to the headers of the request.
+func (f Forward) Write(header *protocol.RequestHeader) {
+	header.Set(headerForwardCaller, f.Caller.String())
+	header.Set(headerForwardRuns, strconv.Itoa(f.Runs))
+	header.Set(headerForwardConfiguration, strconv.FormatUint(f.Configuration, 10))
+}
+
+// TakeForward removes the description from the headers of a request and returns it. It returns an error if a value is missing
+// or unreadable.
+func TakeForward(header *protocol.RequestHeader) (Forward, error) {
+	var f Forward
+	var err error
+	if f.Runs, err = strconv.Atoi(header.Get(headerForwardRuns)); err != nil || f.Runs < 1 {
+		return f, errors.Errorf("forwarded request: header %s is %q", headerForwardRuns, header.Get(headerForwardRuns))
+	}
+	if f.Configuration, err = strconv.ParseUint(header.Get(headerForwardConfiguration), 10, 64); err != nil {
+		return f, errors.Wrapf(err, "forwarded request: header %s", headerForwardConfiguration)
+	}
+	// An unknown caller is written as "invalid IP".
+	f.Caller, _ = netip.ParseAddr(header.Get(headerForwardCaller))
+	for _, name := range []string{headerForwardCaller, headerForwardRuns, headerForwardConfiguration} {
+		header.Del(name)
+	}
+	return f, nil
+}
+
+// Outcome says how a VM ended a request that was forwarded to it, if it does not pass on an answer of a runner.
+type Outcome string
+
+// The outcomes.
+const (
+	// Passed means that the answer is the one of a runner.
+	Passed Outcome = ""
+	// NotTaken means that the VM sent the request to no runner and another VM may.
+	NotTaken Outcome = "notTaken"
+	// Refused means that no runner has run the request and none will.
+	Refused Outcome = "refused"
+	// Failed means that the request failed, and that runners may have run it.
+	Failed Outcome = "failed"
+)
+
+// WriteOutcome adds the outcome of a forwarded request to the headers of the answer, with the number of attempts that may have
+// run.
+func WriteOutcome(header *protocol.ResponseHeader, outcome Outcome, runs int) {
+	header.Set(headerForwardOutcome, string(outcome))
+	header.Set(headerForwardRuns, strconv.Itoa(runs))
+}
+
+// ReadOutcome returns the outcome of a forwarded request, and the number of attempts that may have run if it is Failed.
+func ReadOutcome(header *protocol.ResponseHeader) (Outcome, int) {
+	runs, err := strconv.Atoi(header.Get(headerForwardRuns))
+	if err != nil {
+		runs = 1
+	}
+	return Outcome(header.Get(headerForwardOutcome)), runs
+}
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -88,6 +88,8 @@
 	Limits []Limit `cbor:"15,keyasint,omitempty"`
 	// Departures holds the runners that leave, as far as the VM knows.
 	Departures []Departure `cbor:"16,keyasint,omitempty"`
+	// PathLost reports that the VM has lost its path to the runners.
+	PathLost bool `cbor:"17,keyasint,omitempty"`
 }
 
 // Summary is the aggregator's answer to a VM.
@@ -119,6 +121,8 @@
 	Limits []Limit `cbor:"15,keyasint,omitempty"`
 	// Departures holds the runners that leave, as far as any VM knows.
 	Departures []Departure `cbor:"16,keyasint,omitempty"`
+	// LostPaths holds the VMs that have lost their path to the runners.
+	LostPaths []string `cbor:"17,keyasint,omitempty"`
 }
 
 // AdapterRequest asks the owner of a runner to load an adapter on it.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -84,8 +84,8 @@
 	return s, c.findings
 }
 
-// internalPorts is the number of internal ports: one for peers, one for metrics and state dumps.
-const internalPorts = 2
+// internalPorts is the number of internal ports: one for peers, one for metrics and state dumps, and one for forwarded requests.
+const internalPorts = 3
 
 func (c *checker) ports(ports []int) {
 	if len(ports) != 2 || ports[0] <= 0 || ports[1]-ports[0]+1 < internalPorts {
@@ -113,6 +113,11 @@
 	return netip.AddrPortFrom(g.Address, uint16(g.Ports[0]+1))
 }
 
+// ForwardAddress returns the address on which the gateway takes requests that other VMs forward.
+func (g Gateway) ForwardAddress() netip.AddrPort {
+	return netip.AddrPortFrom(g.Address, uint16(g.Ports[0]+2))
+}
+
 // ShutdownTimeout returns how long a graceful shutdown waits for requests in flight. It is shorter than the grace
 // period, so that the process exits before the platform kills it.
 func ShutdownTimeout(b Bounds) time.Duration { return b.Grace.Duration - exitMargin }
--- a/state/dispatch/scheduler.go
+++ b/state/dispatch/scheduler.go
@@ -67,6 +67,8 @@
 	outages map[string]domainOutage
 	// logSlowdowns holds the logarithms of the slowdown factors, by model.
 	logSlowdowns map[string]float64
+	// lastFirstByteAt is the time at which any endpoint last began an answer.
+	lastFirstByteAt time.Time
 	// prefixSentAt holds the time at which a prompt prefix was last sent to a runner.
 	prefixSentAt map[prefixKey]time.Time
 }
@@ -289,7 +291,7 @@
 	l := s.endpoint(t.Runner)
 	l.awaitingFirstByte = slices.DeleteFunc(l.awaitingFirstByte, func(w *InFlight) bool { return w == t })
 	l.pending[t.priority] -= t.scaledTokens
-	l.timeouts, l.lastFirstByteAt = 0, now
+	l.timeouts, l.lastFirstByteAt, s.lastFirstByteAt = 0, now, now
 	l.returning = l.returning && now.Before(l.restUntil)
 	l.recordLatency(now, now.Sub(t.sentAt), t.predictedWait)
 	if t.unqueued && t.prefillTokens >= minSlowdownSampleTokens {
@@ -379,6 +381,19 @@
 	return loads
 }
 
+// Silent reports whether an answer has been awaited for a time in which none has begun at any endpoint.
+func (s *Scheduler) Silent(now time.Time, duration time.Duration) bool {
+	if now.Sub(s.lastFirstByteAt) < duration {
+		return false
+	}
+	for _, l := range s.endpoints {
+		if slices.ContainsFunc(l.awaitingFirstByte, func(t *InFlight) bool { return now.Sub(t.sentAt) >= duration }) {
+			return true
+		}
+	}
+	return false
+}
+
 // Remove deletes the state of a removed endpoint, unless requests to it are still running.
 func (s *Scheduler) Remove(runner string) {
 	if l := s.endpoints[runner]; l != nil && l.running == 0 {
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -109,6 +109,7 @@
 		VM: g.settings.Name, EndpointLoads: g.scheduler.EndpointLoads(now), Demand: make(map[string]allocation.Demand),
 		SyncedRevision: g.knownRevision, Aggregator: g.aggregatorIncarnation, ReceivedChanges: g.receivedChanges,
 		PackedViews: true, Limits: g.knownLimits(now), Departures: g.knownDepartures(now),
+		PathLost: g.path.Lost(),
 	}
 	for service, meter := range g.demandMeters {
 		report.Demand[service] = meter.Rates(now)
@@ -134,6 +135,7 @@
 	report := gathering.Report{
 		EndpointLoads: received.EndpointLoads, Demand: received.Demand,
 		AdapterUsedAt: make(map[gathering.RunnerUnit]time.Time), Owned: make(map[string]gathering.OwnedRunner),
+		PathLost: received.PathLost,
 	}
 	ownedByVM := make(map[string]bool)
 	for _, use := range received.AdapterUses {
@@ -159,6 +161,7 @@
 	g.exchangeLimits(now, received, s)
 	g.mergeDepartures(now, received.Departures)
 	s.Departures = g.knownDepartures(now)
+	s.LostPaths = g.reports.LostPaths(now)
 	if view, ok := g.storeLog.Since(now, received.SyncedRevision, maxViewAge); ok && received.VM != g.settings.Name {
 		if received.PackedViews {
 			g.storeLog.Pack(&view)
@@ -209,6 +212,10 @@
 	}
 	g.applyLimits(now, s.Limits)
 	g.mergeDepartures(now, s.Departures)
+	g.lostPeers = make(map[string]bool, len(s.LostPaths))
+	for _, name := range s.LostPaths {
+		g.lostPeers[name] = true
+	}
 	changed := false
 	for _, o := range s.Runners {
 		changed = g.directory.MergeHoldings(o.Runner, o.Incarnation, o.Holdings, now.Add(-o.Age)) || changed
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -83,8 +83,17 @@
 		g.writeStatus(c, request.ID, statusNotFound, 0)
 		return
 	}
-	request.Kind, request.Priority, request.TargetLatency = route.Kind, route.Priority, route.TargetLatency
-	request.MaxPause = route.MaxPause
+	g.serveRouted(ctx, &exchange{
+		gateway: g, context: c, route: route, request: request, configurationVersion: table.Version,
+		service: route.Pick(g.randomFraction()), maxRuns: route.MaxRuns,
+	}, callerTimeout)
+}
+
+// serveRouted serves a request whose route is known, within the timeout of the caller if that is positive.
+func (g *Gateway) serveRouted(ctx context.Context, x *exchange, callerTimeout time.Duration) {
+	now, route := x.request.ArrivedAt, x.route
+	x.request.Kind, x.request.Priority, x.request.TargetLatency = route.Kind, route.Priority, route.TargetLatency
+	x.request.MaxPause = route.MaxPause
 	timeout := defaultTimeout
 	if route.Timeout > 0 {
 		timeout = route.Timeout
@@ -92,23 +101,22 @@
 	if callerTimeout > 0 {
 		timeout = min(timeout, callerTimeout)
 	}
-	request.Deadline = now.Add(timeout)
-	x := &exchange{
-		gateway: g, context: c, route: route, request: request, configurationVersion: table.Version,
-		service: route.Pick(g.randomFraction()),
-	}
+	x.request.Deadline = now.Add(timeout)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if route.Resumable && request.Resumption.After != "" {
+	if route.Resumable && x.request.Resumption.After != "" {
 		x.takeUp(ctx, now)
 	}
 	g.mu.Lock()
 	budget := g.retryBudget(now, x.service)
-	budget.RecordRequest(now)
-	g.recordDemand(now, x.service, x)
+	if !x.forwarded {
+		// The VM that the caller asked counts the request.
+		budget.RecordRequest(now)
+		g.recordDemand(now, x.service, x)
+	}
 	g.mu.Unlock()
 	x.machine = lifecycle.New(
-		lifecycle.Limits{Retryable: route.Retryable(), MaxRuns: route.MaxRuns},
+		lifecycle.Limits{Retryable: route.Retryable(), MaxRuns: x.maxRuns},
 		lockedBudget{gateway: g, budget: budget},
 	)
 	x.finish(ctx, lifecycle.Drive(ctx, clock.Now, x.machine, x))
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/platform"
+	"github.com/zinniaroute/zinniaroute/protocol/vm"
 	"github.com/zinniaroute/zinniaroute/state/dispatch"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
@@ -41,6 +42,14 @@
 	machine *lifecycle.Machine
 	// configurationVersion is the version of the configuration that routed the request.
 	configurationVersion uint64
+	// maxRuns is the largest number of endpoints that may run the request.
+	maxRuns int
+	// forwarded means that another VM has sent the request, for its caller.
+	forwarded bool
+	// peer is the VM to which the request is forwarded, or "".
+	peer string
+	// unreachable reports that the request found an endpoint unreachable.
+	unreachable bool
 
 	choice   dispatch.Choice
 	inFlight *dispatch.InFlight
@@ -81,6 +90,9 @@
 
 // Choose returns the chosen endpoint, or the reason why none can take the request.
 func (x *exchange) Choose(ctx context.Context) lifecycle.Event {
+	if x.peer = x.choosePeer(ctx); x.peer != "" {
+		return lifecycle.Chosen{Endpoint: x.peer}
+	}
 	if x.resumption && x.binding == nil {
 		return x.refuseTakeUp()
 	}
@@ -101,6 +113,9 @@
 
 // Send sends the request to the chosen endpoint. It reads the head of a stream's answer, and the whole of any other.
 func (x *exchange) Send(ctx context.Context) lifecycle.Event {
+	if x.peer != "" {
+		return x.forward(ctx)
+	}
 	now := clock.Now()
 	g := x.gateway
 	x.recordSent(now)
@@ -139,9 +154,13 @@
 	sent := httpcall.WasSent(err)
 	x.recordCallFailure(ctx, sent, err)
 	x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, sent, err)
+	if ctx.Err() == nil && httpcall.BeforeAnswer(err) {
+		x.gateway.recordPathFailure()
+	}
 	if sent {
 		return lifecycle.Lost{}
 	}
+	x.unreachable = true
 	return lifecycle.Unreachable{}
 }
 
@@ -262,6 +281,9 @@
 
 // Relay sends the answer that arrived to the caller.
 func (x *exchange) Relay(ctx context.Context) lifecycle.Event {
+	if x.peer != "" {
+		return x.relayForwarded(ctx)
+	}
 	response := &x.context.Response
 	if x.route.Kind == routes.Stream && x.call.Response.StatusCode() == statusOK {
 		return x.relayEvents(ctx)
@@ -271,14 +293,19 @@
 	return lifecycle.Completed{}
 }
 
+// openRelay begins the answer to the caller with the head of a stream.
+func (x *exchange) openRelay() {
+	platform.CopyHead(&x.call.Response.Header, &x.context.Response.Header)
+	after := ""
+	if x.resumption {
+		after = x.request.Resumption.After
+	}
+	x.relay = newEventRelay(x.context, after)
+}
+
 func (x *exchange) relayEvents(ctx context.Context) lifecycle.Event {
 	if x.relay == nil {
-		platform.CopyHead(&x.call.Response.Header, &x.context.Response.Header)
-		after := ""
-		if x.resumption {
-			after = x.request.Resumption.After
-		}
-		x.relay = newEventRelay(x.context, after)
+		x.openRelay()
 	}
 	err := x.relay.copy(x.call.Body(), x.call.EndsWithConnection())
 	switch {
@@ -323,12 +350,14 @@
 		if x.resumption {
 			x.context.Response.SetBodyString(x.machine.Reason() + "; without Last-Event-Id the stream begins again\n")
 		}
+		x.writeOutcome(vm.Refused)
 	case lifecycle.Fail:
 		status = statusBadGateway
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			status = statusGatewayTimeout
 		}
 		g.writeStatus(x.context, x.request.ID, status, 0)
+		x.writeOutcome(vm.Failed)
 	case lifecycle.Abort:
 		if err := x.context.GetConn().Close(); err != nil && !errors.Is(err, io.EOF) {
 			g.log.Emit(eventlog.EndpointFailed, x.request.ID, "caller", true, err)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/zinniaroute/zinniaroute/state/lifecycle"
 	"github.com/zinniaroute/zinniaroute/state/limits"
 	"github.com/zinniaroute/zinniaroute/state/origins"
+	"github.com/zinniaroute/zinniaroute/state/reach"
 	"github.com/zinniaroute/zinniaroute/state/routes"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 	"github.com/zinniaroute/zinniaroute/transport/group"
@@ -33,7 +34,9 @@
 	// endpointDialTimeout is the time limit for opening a connection to an endpoint, which takes some milliseconds if the
 	// endpoint is healthy.
 	endpointDialTimeout = 300 * time.Millisecond
-	drainPollInterval   = 20 * time.Millisecond
+	// peerDialTimeout is the time limit for opening a connection to another VM that forwards requests.
+	peerDialTimeout   = 300 * time.Millisecond
+	drainPollInterval = 20 * time.Millisecond
 	// rotationRemovalTime is the time within which the platform notices that the VM is not ready. It needs two checks and
 	// makes one a second.
 	rotationRemovalTime = 2500 * time.Millisecond
@@ -55,7 +58,9 @@
 	// and to send orders to them.
 	endpointClient *httpcall.Client
 	runnerClient   *platform.RunnerClient
-	store          *platform.Store
+	// peerClient forwards callers' requests to other VMs.
+	peerClient *httpcall.Client
+	store      *platform.Store
 
 	table atomic.Pointer[routes.Table]
 
@@ -121,6 +126,17 @@
 	// syncedAt is the time of the request to the store that the known content reflects.
 	syncedAt time.Time
 
+	// path says whether the path to the runners is lost. pathChecked is closed and replaced at the end of each check. The field
+	// mu protects both, and the two after them.
+	path        reach.Tracker
+	pathChecked chan struct{}
+	// lostPeers holds the VMs that have lost their path to the runners, and slowPeers until when others are preferred for
+	// requests that are forwarded.
+	lostPeers map[string]bool
+	slowPeers map[string]time.Time
+	// pathDoubted wakes the task that checks the path.
+	pathDoubted chan struct{}
+
 	// offeredAt is when the store's content was last offered to each member that does not report, and offersInFlight the
 	// number of offers that have not ended. The field mu protects both.
 	offeredAt      map[string]time.Time
@@ -147,6 +163,10 @@
 		log:              log,
 		endpointClient:   endpointClient,
 		runnerClient:     platform.NewRunnerClient(endpointClient),
+		peerClient:       httpcall.NewClient(peerDialTimeout),
+		pathChecked:      make(chan struct{}),
+		pathDoubted:      make(chan struct{}, 1),
+		slowPeers:        make(map[string]time.Time),
 		store:            platform.NewStore(s.Store),
 		directory:        fleet.NewDirectory(),
 		scheduler:        dispatch.NewScheduler(s.Domain),
@@ -191,15 +211,17 @@
 func (g *Gateway) bounds() settings.Bounds { return *g.currentBounds.Load() }
 
 // Start runs the gateway's servers, on open listeners, and its background tasks in the group.
-func (g *Gateway) Start(tasks *group.Group, callers, readiness, peers, ops net.Listener) {
+func (g *Gateway) Start(tasks *group.Group, callers, readiness, peers, ops, forwards net.Listener) {
 	g.tasks = tasks
 	g.serveOperations(tasks, ops)
 	g.serveCallers(tasks, callers)
 	g.serveReadiness(tasks, readiness)
 	g.peerHandlers().Start(tasks, peers)
+	g.serveForwards(tasks, forwards)
 	tasks.Start("follow store", g.followStore)
 	tasks.Start("register", g.keepRegistered)
 	tasks.Start("claim runners", g.claimRunners)
+	tasks.Start("watch path", g.watchPath)
 	tasks.Start("exchange", g.syncWithAggregator)
 	tasks.Start("store quarantines", g.storeQuarantines)
 	tasks.Start("store origins", g.storeOrigins)
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -44,6 +44,8 @@
 	Domain  string         `json:"domain"`
 	// LinkMbps is the speed of the VM's link in megabits per second, or zero if it is not known.
 	LinkMbps float64 `json:"linkMbps,omitempty"`
+	// Forward is the address at which the VM takes forwarded requests. VMs of earlier versions have none.
+	Forward netip.AddrPort `json:"forward,omitzero"`
 }
 
 // ownerValue is the value of a runner's owner key.
@@ -99,7 +101,10 @@
 	if err != nil {
 		return platform.Lease{}, err
 	}
-	value, err := json.Marshal(memberValue{Address: g.settings.PeerAddress(), Domain: g.settings.Domain, LinkMbps: g.settings.LinkMbps})
+	value, err := json.Marshal(memberValue{
+		Address: g.settings.PeerAddress(), Domain: g.settings.Domain, LinkMbps: g.settings.LinkMbps,
+		Forward: g.settings.ForwardAddress(),
+	})
 	if err != nil {
 		return platform.Lease{}, errors.Wrap(err, "encode member")
 	}
--- a/transport/gateway/metrics.go
+++ b/transport/gateway/metrics.go
@@ -38,6 +38,9 @@
 	// a rest.
 	runnerDepartures = expvar.NewInt("runnerDepartures")
 	runnerRests      = expvar.NewInt("runnerRests")
+	// forwards counts the requests that this VM forwarded to another one, by how that ended, and those of other VMs that it did
+	// not take.
+	forwards = expvar.NewMap("gatewayForwards")
 	// limitRecords counts the changes of limits that runners name, and the requests sent to runners that named one.
 	limitRecords = expvar.NewMap("gatewayLimits")
 )
--- a/transport/gateway/operations.go
+++ b/transport/gateway/operations.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/zinniaroute/zinniaroute/coordination/ownership"
@@ -48,6 +50,9 @@
 	QuarantinedParts []quarantine.PartSuspicion `json:"quarantinedParts"`
 	// Limits holds the requests a second that runners take from all VMs together, by runner.
 	Limits map[string]string `json:"limits,omitempty"`
+	// PathLostSince is since when this VM has no path to the runners, and LostPaths are the VMs that have none.
+	PathLostSince time.Time `json:"pathLostSince,omitzero"`
+	LostPaths     []string  `json:"lostPaths,omitempty"`
 	// Scheduler is the state from which the choices of runners for requests can be repeated.
 	Scheduler dispatch.Snapshot `json:"desk"`
 }
@@ -92,6 +97,7 @@
 		Members: g.owners.Members(), RemainingRetries: make(map[string]int), Limits: make(map[string]string), Scheduler: g.scheduler.Snapshot(now),
 		Suspicions: g.crashes.tracker.All(now), QuarantinedParts: g.crashes.parts.Quarantined(),
 	}
+	d.PathLostSince, d.LostPaths = g.path.LostSince(), slices.Sorted(maps.Keys(g.lostPeers))
 	if table := g.table.Load(); table != nil {
 		d.ConfigurationVersion = table.Version
 	}
--- a/transport/httpcall/error.go
+++ b/transport/httpcall/error.go
@@ -38,3 +38,11 @@
 	var failed *Error
 	return !errors.As(err, &failed) || failed.Sent()
 }
+
+// BeforeAnswer reports whether a call failed before the header of the response arrived, because of its connection. It returns
+// false for errors of other types than Error.
+func BeforeAnswer(err error) bool {
+	var failed *Error
+	return errors.As(err, &failed) && failed.Stage != StageBody && !errors.Is(err, errNoResponse) &&
+		!errors.Is(err, errTooManySkipped)
+}
--- a/transport/httpcall/exchange.go
+++ b/transport/httpcall/exchange.go
@@ -31,10 +31,22 @@
 	request *protocol.Request,
 	timeout time.Duration,
 	maxBody int64,
+) (*Result, error) {
+	return c.FetchWith(ctx, address, request, timeout, maxBody, Options{})
+}
+
+// FetchWith does the same as Fetch, with options.
+func (c *Client) FetchWith(
+	ctx context.Context,
+	address netip.AddrPort,
+	request *protocol.Request,
+	timeout time.Duration,
+	maxBody int64,
+	options Options,
 ) (*Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	exchange, err := c.Start(ctx, address, request, Options{})
+	exchange, err := c.Start(ctx, address, request, options)
 	if err != nil {
 		return nil, err
 	}
