Cut gateways off from all runners in the soak, and test what a forwarded request promises

Tests: a caller that leaves cancels a forwarded request at its runner; requests forwarded to a VM that is killed run once and are neither called not run nor complete when they are not; two VMs without a path refuse at once and do not forward to each other.

--- a/integration/gateway_partition_test.go
+++ b/integration/gateway_partition_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/zinniaroute/zinniaroute/standin/caller"
 	"github.com/zinniaroute/zinniaroute/standin/proxy"
 	"github.com/zinniaroute/zinniaroute/transport/group"
 )
@@ -144,3 +145,113 @@
 		})
 	}
 }
+
+// forwardingGateway returns a deployment of two gateways of which the first has lost its path to the runners, and which forwards
+// requests to the second.
+func forwardingGateway(t *testing.T) *partitionLoad {
+	t.Helper()
+	l := newPartitionLoad(t, 2)
+	l.partitionGateways(proxy.Faults{Disconnect: true}, "vm-0")
+	waitUntil(t, "vm-0 forwards requests", func() bool { return l.send("vm-0", safePath, "").status == http.StatusOK })
+	return l
+}
+
+func TestCallerThatLeavesDoesNotCancelAForwardedRequest(t *testing.T) {
+	t.Parallel()
+	l := forwardingGateway(t)
+	for range 5 {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		response, err := testClient.Do(newRequest(ctx, l.deployment.gateways["vm-0"], modelPath, "large", []byte("leaves")))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		cancel()
+	}
+	group.Sleep(t.Context(), time.Second)
+	runs := 0
+	for _, runner := range l.runners {
+		for _, run := range runner.Runs() {
+			if run.Body == "leaves" {
+				runs++
+				assert.Check(t, run.Cancelled, "%s was not cancelled", run.Attempt)
+			}
+		}
+	}
+	assert.Check(t, runs > 0, "no request reached a runner")
+}
+
+// The VM that takes the requests is killed while it serves them.
+func TestForwardedRequestRunsTwiceOrLooksComplete(t *testing.T) {
+	t.Parallel()
+	l := forwardingGateway(t)
+	type answer struct {
+		attempt string
+		gatewayResponse
+	}
+	var mu sync.Mutex
+	var answers []answer
+	var calls sync.WaitGroup
+	for i := range 60 {
+		if i == 30 {
+			l.processes["vm-1"].kill()
+			l.startProcess("vm-1", "gateway", "--settings", l.deployment.gateways["vm-1"].settings)
+		}
+		path, model := unsafePath, ""
+		if i%2 == 0 {
+			path, model = modelPath, "large"
+		}
+		request := newRequest(context.Background(), l.deployment.gateways["vm-0"], path, model, []byte("{}"))
+		calls.Go(func() {
+			a := answer{attempt: request.Header.Get(caller.AttemptHeader)}
+			if response, err := testClient.Do(request); err != nil {
+				a.err = err
+			} else {
+				body, err := io.ReadAll(response.Body)
+				_ = response.Body.Close()
+				a.gatewayResponse = gatewayResponse{status: response.StatusCode, body: string(body), err: err}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, a)
+		})
+		group.Sleep(t.Context(), 5*time.Millisecond)
+	}
+	calls.Wait()
+	runs := make(map[string]int)
+	for _, runner := range l.runners {
+		for _, run := range runner.Runs() {
+			runs[run.Attempt]++
+		}
+	}
+	statuses := make(map[int]int)
+	for _, a := range answers {
+		statuses[a.status]++
+		assert.Check(t, runs[a.attempt] <= 1, "%s ran %d times", a.attempt, runs[a.attempt])
+		assert.Check(t, a.status != http.StatusServiceUnavailable || runs[a.attempt] == 0, "%s was refused and ran", a.attempt)
+		whole := a.body == "answer of p0" || a.body == "answer of p1" || a.eventIDs() == "1 2 3 4 5"
+		assert.Check(t, a.status != http.StatusOK || a.err != nil || whole, "%s looks complete with body %q", a.attempt, a.body)
+	}
+	assert.Check(t, statuses[http.StatusOK] >= 20, "statuses %v", statuses)
+}
+
+// The second gateway has lost its path too, and the first does not know yet.
+func TestForwardedRequestIsForwardedAgain(t *testing.T) {
+	t.Parallel()
+	l := forwardingGateway(t)
+	l.partitionGateways(proxy.Faults{Disconnect: true}, "vm-0", "vm-1")
+	waitUntil(t, "requests are refused", func() bool {
+		return l.send("vm-0", safePath, "").status != http.StatusOK && l.send("vm-1", safePath, "").status != http.StatusOK
+	})
+	group.Sleep(t.Context(), 2*time.Second)
+	for _, name := range l.gateways {
+		for range 5 {
+			sentAt := time.Now()
+			r := l.send(name, unsafePath, "")
+			assert.Check(t, r.status == http.StatusServiceUnavailable || r.status == http.StatusBadGateway, "status %d", r.status)
+			assert.Check(t, time.Since(sentAt) < time.Second, "an answer without a path after %v", time.Since(sentAt))
+		}
+	}
+	l.partitionGateways(proxy.Faults{Disconnect: true}, "vm-1")
+	waitUntil(t, "vm-1 forwards to vm-0", func() bool { return l.send("vm-1", safePath, "").status == http.StatusOK })
+}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -58,7 +58,8 @@
 }
 
 // TestSoak checks the guarantees to callers under random faults, one after another and overlapping. Gateways are
-// killed, stopped, paused and restarted; the store is down or slow, loses responses, or returns from an older copy; links are cut, frozen or slow;
+// killed, stopped, paused and restarted; the store is down or slow, loses responses, or returns from an older copy; links are cut, frozen or slow; gateways are cut off
+// from all runners;
 // runners truncate streams, fail requests, crash on one of them, name limits, leave, rest, and start again with another
 // version of their software;
 // configurations change.
@@ -107,6 +108,9 @@
 	callers.Go(func() { s.takeUpStreams(ctx, vms, rand.New(rand.NewPCG(seed, 6<<32))) })
 	callers.Go(func() { s.nameLimits(ctx, rand.New(rand.NewPCG(seed, 4<<32))) })
 	callers.Go(func() { s.departRunners(ctx, rand.New(rand.NewPCG(seed, 8<<32))) })
+	faultsContext, stopPartitions := context.WithCancel(ctx)
+	var partitions sync.WaitGroup
+	partitions.Go(func() { s.partitionAtTimes(faultsContext, vms, rand.New(rand.NewPCG(seed, 9<<32))) })
 	returns, kills := rand.New(rand.NewPCG(seed, 1<<32)), rand.New(rand.NewPCG(seed, 7<<32))
 	for until := time.Now().Add(*soakDuration); time.Now().Before(until); {
 		s.copies = append(s.copies, s.store.Copy())
@@ -121,6 +125,8 @@
 		}
 		group.Sleep(ctx, time.Duration(100+s.random.IntN(900))*time.Millisecond)
 	}
+	stopPartitions()
+	partitions.Wait()
 	s.endFaults(vms)
 	for _, vm := range vms {
 		s.waitServing(vm)
