Do not take requests in flight at the loss of the path for ones that crash runners

Cause: the end of a connection without an answer counts as a crash of the runner under the request, and partitions end many at once. The crash is now held until the check of the path that the failure causes. If no runner answers, only another start of the runner is evidence, as for runs that were given up.

--- a/state/quarantine/runs.go
+++ b/state/quarantine/runs.go
@@ -135,3 +135,12 @@
 	}
 	r.byEndpoint[endpoint] = kept
 }
+
+// Take removes a run that was given up, because its result is known now. It reports false if another one has taken it.
+func (r *Runs) Take(now time.Time, run *Run) bool {
+	if !slices.Contains(r.byEndpoint[run.endpoint], run) {
+		return false
+	}
+	r.End(now, run)
+	return true
+}
--- a/transport/gateway/path.go
+++ b/transport/gateway/path.go
@@ -23,8 +23,13 @@
 // recordPathFailure records that a connection to a runner failed before an answer began.
 func (g *Gateway) recordPathFailure() {
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.doubtPath()
+}
+
+// doubtPath causes a check of the path. The caller must hold the lock.
+func (g *Gateway) doubtPath() {
 	g.path.RecordFailure()
-	g.mu.Unlock()
 	select {
 	case g.pathDoubted <- struct{}{}:
 	default:
@@ -148,6 +153,7 @@
 		}
 		g.log.Emit(eventlog.PathChanged, g.path.Lost(), len(targets), lasted.Milliseconds())
 	}
+	g.settleHeldCrashes(clock.Now())
 	close(g.pathChecked)
 	g.pathChecked = make(chan struct{})
 }
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -34,6 +34,8 @@
 	stored       map[string]bool
 	missingSince map[string]time.Time
 	observed     map[string]time.Time
+	// held holds the crashes that wait for a check of the path to the runners.
+	held []heldCrash
 	// logged holds the quarantines that this VM has logged.
 	logged map[quarantine.Fingerprint]bool
 }
@@ -117,10 +119,38 @@
 		g.crashes.runs.GiveUp(now, x.run)
 		return
 	}
-	g.crashes.runs.End(now, x.run)
-	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
-		errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		g.recordCrash(now, x.run.Origin, x.run.Crash(now), err)
+	if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) &&
+		!errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		g.crashes.runs.End(now, x.run)
+		return
+	}
+	// The loss of the path ends connections too, so the crash counts only if a check finds the path. Until then, as after a
+	// loss, another start of the runner is the only evidence.
+	crash := x.run.Crash(now)
+	g.crashes.runs.GiveUp(now, x.run)
+	g.doubtPath()
+	g.crashes.held = append(g.crashes.held, heldCrash{run: x.run, crash: crash, evidence: err})
+}
+
+// heldCrash is the end of a connection that may be due to the loss of the path to the runners.
+type heldCrash struct {
+	run      *quarantine.Run
+	crash    quarantine.Crash
+	evidence error
+}
+
+// settleHeldCrashes records the crashes that were held until a check of the path, unless it found the path lost. The caller
+// must hold the lock.
+func (g *Gateway) settleHeldCrashes(now time.Time) {
+	held := g.crashes.held
+	g.crashes.held = nil
+	if g.path.Lost() {
+		return
+	}
+	for _, h := range held {
+		if g.crashes.runs.Take(now, h.run) {
+			g.recordCrash(now, h.run.Origin, h.crash, h.evidence)
+		}
 	}
 }
 
--- a/transport/gateway/quarantine_test.go
+++ b/transport/gateway/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -138,3 +139,26 @@
 		})
 	}
 }
+
+// The loss of the path to the runners ends the connections of requests that crash nothing.
+func TestRequestsInFlightAtTheLossOfThePathAreQuarantined(t *testing.T) {
+	for _, answered := range []int{0, 1} {
+		now := time.Unix(1_000_000, 0)
+		v := &simulatedVM{name: "vm-0"}
+		v.start(now)
+		g := v.gateway
+		for i := range 6 {
+			x := &exchange{gateway: g, request: fleet.Request{Fingerprint: culprit}}
+			x.choice = dispatch.Choice{Runner: &fleet.Runner{ID: fmt.Sprint("r", i), Incarnation: now.UnixMilli()}}
+			g.mu.Lock()
+			x.beginRun(now)
+			x.failRun(t.Context(), now.Add(time.Second), io.EOF)
+			g.mu.Unlock()
+		}
+		checkPath(g, now.Add(time.Second), answered)
+		g.mu.Lock()
+		retryAfter := g.crashes.tracker.RetryAfter(now.Add(time.Second), culprit)
+		g.mu.Unlock()
+		assert.Equal(t, retryAfter > 0, answered > 0, "%d runners answered the check", answered)
+	}
+}
