Add a failing test: brittle runners fall over

Four runners that say Server-Brittle, and have room for ten requests each, get twice the requests that they can serve.

--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -121,6 +121,10 @@
 	leaving         []string
 	rest            Rest
 	arrivals        []Arrival
+	// inside is the number of requests that run or wait, and turnedAway holds when the brittle runner had no room for one.
+	brittle    Brittle
+	inside     int
+	turnedAway []time.Time
 	// crashed is closed when the present incarnation crashes.
 	crashed chan struct{}
 }
@@ -369,6 +373,11 @@
 	if r.endsRun(c) {
 		return
 	}
+	leave, ok := r.enter(c)
+	if !ok {
+		return
+	}
+	defer leave()
 	r.mu.Lock()
 	crashed, software := r.crashed, r.software
 	r.mu.Unlock()
