Send brittle runners no more than they have room for

Runners that say Server-Brittle fall over if they turn too many requests away within a second.

Cause: nobody read the header. A VM tries a full runner again 100 ms after a rejection, each VM by itself, and requests to plain services are sent without regard to slots. The class is that of LIMIT: a bound for all VMs that only the relaying VM sees.

A VM now sends to a brittle runner only while its slots, and this VM's share of them, are free by what all VMs report; with more VMs than slots they send in turn. After a rejection all VMs pause, and come back at a rate that the runner bears. Requests wait for a place within their target latency.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -334,6 +334,11 @@
 		[]string{"request", "reason"},
 		"Nothing.",
 	}
+	BrittleChanged = Event{
+		531, logrus.InfoLevel, "a runner says that it falls over if it turns more requests a second away than this, or does so no more",
+		[]string{"request", "runner", "perSecond"},
+		"Check the load of the service.",
+	}
 	SettingsReloaded = Event{
 		104, logrus.InfoLevel, "settings reloaded",
 		[]string{"changed", "error"},
@@ -383,7 +388,7 @@
 		RequestServed, RequestNotServed, LogLinesDropped, HandlerPanicked,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
 		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, OriginsNotStored, OriginUnconfirmed, RunnerLeaves, RunnerRests, VersionNotRecorded, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable, EntryIgnored, ContentReceived,
-		PathChanged, RequestForwarded, ForwardDeclined,
+		BrittleChanged, PathChanged, RequestForwarded, ForwardDeclined,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- a/integration/gateway_brittle_test.go
+++ b/integration/gateway_brittle_test.go
@@ -49,7 +49,7 @@
 			l.run(320, duration)
 			falls, turnedAway := 0, 0
 			for _, runner := range l.runners {
-				falls += len(runner.Crashes())
+				falls += runner.Falls()
 				turnedAway += runner.TurnedAway()
 			}
 			t.Logf("%d falls, %d requests turned away, statuses %v", falls, turnedAway, l.statuses)
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -60,7 +60,7 @@
 // TestSoak checks the guarantees to callers under random faults, one after another and overlapping. Gateways are
 // killed, stopped, paused and restarted; the store is down or slow, loses responses, or returns from an older copy; links are cut, frozen or slow; gateways are cut off
 // from all runners;
-// runners truncate streams, fail requests, crash on one of them, name limits, leave, rest, and start again with another
+// runners truncate streams, fail requests, crash on one of them, name limits, leave, rest, are brittle, and start again with another
 // version of their software;
 // configurations change.
 func TestSoak(t *testing.T) {
@@ -107,6 +107,7 @@
 	callers.Go(func() { s.upgradeRunners(ctx, rand.New(rand.NewPCG(seed, 5<<32))) })
 	callers.Go(func() { s.takeUpStreams(ctx, vms, rand.New(rand.NewPCG(seed, 6<<32))) })
 	callers.Go(func() { s.nameLimits(ctx, rand.New(rand.NewPCG(seed, 4<<32))) })
+	callers.Go(func() { s.makeBrittle(ctx, rand.New(rand.NewPCG(seed, 10<<32))) })
 	callers.Go(func() { s.departRunners(ctx, rand.New(rand.NewPCG(seed, 8<<32))) })
 	faultsContext, stopPartitions := context.WithCancel(ctx)
 	var partitions sync.WaitGroup
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -56,6 +56,18 @@
 	Next time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
+// Brittle says that a runner falls over if it turns too many requests away for want of room.
+type Brittle struct {
+	Runner string `cbor:"1,keyasint"`
+	// PerSecond is the number of requests that it may turn away within a second, or infinite if it is not brittle any more.
+	PerSecond float64 `cbor:"2,keyasint"`
+	// Age is the time since the latest answer that says so.
+	Age time.Duration `cbor:"3,keyasint"`
+	// TurnedAway reports that it has turned a request away of late, TurnedAwayAge ago.
+	TurnedAway    bool          `cbor:"4,keyasint,omitempty"`
+	TurnedAwayAge time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
 // Departure says that a runner leaves in one incarnation.
 type Departure struct {
 	Runner      string `cbor:"1,keyasint"`
@@ -90,6 +102,8 @@
 	Departures []Departure `cbor:"16,keyasint,omitempty"`
 	// PathLost reports that the VM has lost its path to the runners.
 	PathLost bool `cbor:"17,keyasint,omitempty"`
+	// Brittle holds the runners that have said to the VM that they are brittle.
+	Brittle []Brittle `cbor:"18,keyasint,omitempty"`
 }
 
 // Summary is the aggregator's answer to a VM.
@@ -123,6 +137,8 @@
 	Departures []Departure `cbor:"16,keyasint,omitempty"`
 	// LostPaths holds the VMs that have lost their path to the runners.
 	LostPaths []string `cbor:"17,keyasint,omitempty"`
+	// Brittle holds the runners that have said to any VM that they are brittle.
+	Brittle []Brittle `cbor:"18,keyasint,omitempty"`
 }
 
 // AdapterRequest asks the owner of a runner to load an adapter on it.
--- a/standin/modelrunner/brittle.go
+++ b/standin/modelrunner/brittle.go
@@ -33,6 +33,13 @@
 	return len(r.turnedAway)
 }
 
+// Falls returns the number of times that the brittle runner fell over.
+func (r *Runner) Falls() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.falls
+}
+
 // enter takes a place of a brittle runner for a request. It returns false if it has turned the request away, which may make
 // the runner crash. The caller must call leave after the request.
 func (r *Runner) enter(c *app.RequestContext) (leave func(), ok bool) {
@@ -58,6 +65,7 @@
 		}
 	}
 	if recent > r.brittle.PerSecond && !now.Before(r.downUntil) {
+		r.falls++
 		r.crashNow(now)
 	}
 	c.Header(headerNotRun, "1")
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -124,6 +124,7 @@
 	// inside is the number of requests that run or wait, and turnedAway holds when the brittle runner had no room for one.
 	brittle    Brittle
 	inside     int
+	falls      int
 	turnedAway []time.Time
 	// crashed is closed when the present incarnation crashes.
 	crashed chan struct{}
--- a/state/dispatch/candidate.go
+++ b/state/dispatch/candidate.go
@@ -95,7 +95,7 @@
 		c.CrossDomainPenalty = crossDomainPenalty
 	}
 	c.FailurePenalty = time.Duration((l.failureRate(now) - b.minFailureRate) * float64(certainFailurePenalty))
-	c.Cost = c.Wait + c.FailurePenalty + c.CrossDomainPenalty
+	c.Cost = c.Wait + c.FailurePenalty + c.CrossDomainPenalty + l.brittlePenalty(r, runner.ID)
 	if l.limit.probeDue(now) {
 		c.Cost -= probeBonus
 	}
@@ -132,6 +132,8 @@
 		return "it has asked for a rest"
 	case r.Unit.Model != "" && !runner.Holdings.Has(fleet.Unit{Model: r.Unit.Model}):
 		return "it does not hold the model"
+	case !s.hasPlace(now, runner):
+		return noPlaceReason
 	case r.Unit.Adapter == "" || runner.Holdings.Has(r.Unit):
 		return ""
 	case runner.Holdings.Busy:
--- a/state/dispatch/endpoint.go
+++ b/state/dispatch/endpoint.go
@@ -118,6 +118,9 @@
 	// awaitingFirstByte holds the requests whose answers have not begun.
 	awaitingFirstByte []*InFlight
 	limit             Limit
+	brittle           Brittle
+	// occupancy is the moving average of the time for which a served request takes a place.
+	occupancy time.Duration
 	// restUntil is the end of the rest that the endpoint asked for. returning reports that no answer has begun since then, so
 	// that the endpoint gets one request at a time.
 	restUntil time.Time
@@ -142,6 +145,14 @@
 	l.failureAverage, l.failureAverageAt = rate, now
 }
 
+// recordOccupancy adds a sample of the time for which a served request took a place.
+func (l *endpointState) recordOccupancy(sample time.Duration) {
+	if l.occupancy == 0 {
+		l.occupancy = sample
+	}
+	l.occupancy += time.Duration(occupancyWeight * float64(sample-l.occupancy))
+}
+
 // recordLatency adds a sample of the latency ratio: the measured time to first byte against the time that is predicted
 // for a latency ratio of 1.
 func (l *endpointState) recordLatency(now time.Time, measured, predicted time.Duration) {
--- a/state/dispatch/scheduler.go
+++ b/state/dispatch/scheduler.go
@@ -51,6 +51,8 @@
 	slowdownWeight = 0.1
 	minSlowdown    = 0.1
 	maxSlowdown    = 4
+	// occupancyWeight is the weight of one sample in the moving average of the time for which a request takes a place.
+	occupancyWeight = 0.2
 	// adapterLoadBackoff is the backoff for requests whose adapter is not loaded on a runner, after the runner's owner
 	// failed to load one.
 	adapterLoadBackoff = 250 * time.Millisecond
@@ -61,6 +63,8 @@
 type Scheduler struct {
 	// domain is this VM's failure domain.
 	domain string
+	// members is the number of VMs that share the places of brittle endpoints.
+	members int
 	// endpoints holds the state of each endpoint, by runner ID.
 	endpoints map[string]*endpointState
 	// outages holds the failure domains with unreachable runners, by domain.
@@ -82,6 +86,7 @@
 func NewScheduler(domain string) *Scheduler {
 	return &Scheduler{
 		domain:       domain,
+		members:      1,
 		endpoints:    make(map[string]*endpointState),
 		prefixSentAt: make(map[prefixKey]time.Time),
 		logSlowdowns: make(map[string]float64),
@@ -263,6 +268,7 @@
 	t.domain = choice.Runner.Domain
 	l.awaitingFirstByte = append(l.awaitingFirstByte, t)
 	l.running++
+	s.useTurn(now, choice.Runner)
 	l.recordPrefill(now, t.scaledTokens)
 	l.pending[t.priority] += t.scaledTokens
 	if len(s.prefixSentAt) > maxPrefixEntries {
@@ -293,6 +299,7 @@
 	l.pending[t.priority] -= t.scaledTokens
 	l.timeouts, l.lastFirstByteAt, s.lastFirstByteAt = 0, now, now
 	l.returning = l.returning && now.Before(l.restUntil)
+	l.brittle.Returning = l.brittle.Returning && now.Before(l.brittle.PausedUntil)
 	l.recordLatency(now, now.Sub(t.sentAt), t.predictedWait)
 	if t.unqueued && t.prefillTokens >= minSlowdownSampleTokens {
 		s.recordSlowdown(t.model, t.prefillTokens, now.Sub(t.sentAt))
@@ -314,6 +321,7 @@
 	switch outcome {
 	case Served:
 		l.recordOutcome(now, false)
+		l.recordOccupancy(now.Sub(t.sentAt))
 	case Failed:
 		l.recordOutcome(now, true)
 	case Declined:
--- a/state/dispatch/snapshot.go
+++ b/state/dispatch/snapshot.go
@@ -16,6 +16,8 @@
 	Endpoints map[string]EndpointSnapshot `json:"loads"`
 	// DomainOutages holds the failure domains with unreachable runners, by domain.
 	DomainOutages map[string]DomainOutageSnapshot `json:"silences,omitempty"`
+	// Members is the number of VMs that share the places of brittle endpoints.
+	Members int `json:"members,omitempty"`
 	// LogSlowdowns holds the logarithms of the slowdown factors, by model.
 	LogSlowdowns map[string]float64 `json:"paces,omitempty"`
 }
@@ -34,6 +36,7 @@
 	LastFirstByteAt     time.Time           `json:"began,omitzero"`
 	AdapterBackoffUntil time.Time           `json:"unorderedUntil,omitzero"`
 	Limit               Limit               `json:"limit,omitzero"`
+	Brittle             Brittle             `json:"brittle,omitzero"`
 	RestUntil           time.Time           `json:"restUntil,omitzero"`
 	Returning           bool                `json:"returning,omitempty"`
 	AwaitingFirstByte   []InFlightSnapshot  `json:"waiting,omitempty"`
@@ -55,7 +58,7 @@
 // Snapshot returns the state of the scheduler as of now.
 func (s *Scheduler) Snapshot(now time.Time) Snapshot {
 	saved := Snapshot{
-		Domain: s.domain, At: now, Endpoints: make(map[string]EndpointSnapshot, len(s.endpoints)),
+		Domain: s.domain, At: now, Members: s.members, Endpoints: make(map[string]EndpointSnapshot, len(s.endpoints)),
 		DomainOutages: make(map[string]DomainOutageSnapshot, len(s.outages)), LogSlowdowns: maps.Clone(s.logSlowdowns),
 	}
 	for id, l := range s.endpoints {
@@ -75,7 +78,7 @@
 		LogLatencyRatio: decay.After(l.logLatencyRatio, now.Sub(l.logLatencyRatioAt), latencyRatioHalfLife),
 		AtCapacityUntil: l.atCapacityUntil, BackoffUntil: l.backoffUntil, Timeouts: l.timeouts,
 		LastFirstByteAt: l.lastFirstByteAt, AdapterBackoffUntil: l.adapterBackoffUntil,
-		Limit: l.limit, RestUntil: l.restUntil, Returning: l.returning,
+		Limit: l.limit, Brittle: l.brittle, RestUntil: l.restUntil, Returning: l.returning,
 	}
 	for _, t := range l.awaitingFirstByte {
 		s.AwaitingFirstByte = append(s.AwaitingFirstByte, InFlightSnapshot{SentAt: t.sentAt, PredictedWait: t.predictedWait})
@@ -86,6 +89,7 @@
 // Restore returns a scheduler with the state of a snapshot.
 func Restore(snapshot Snapshot) *Scheduler {
 	s := NewScheduler(snapshot.Domain)
+	s.SetMembers(snapshot.Members)
 	maps.Copy(s.logSlowdowns, snapshot.LogSlowdowns)
 	for id, state := range snapshot.Endpoints {
 		s.endpoints[id] = state.restore(snapshot.At)
@@ -102,7 +106,7 @@
 		failureAverage: s.FailureRate, failureAverageAt: at, logLatencyRatio: s.LogLatencyRatio, logLatencyRatioAt: at,
 		atCapacityUntil: s.AtCapacityUntil, backoffUntil: s.BackoffUntil, timeouts: s.Timeouts,
 		lastFirstByteAt: s.LastFirstByteAt, adapterBackoffUntil: s.AdapterBackoffUntil,
-		limit: s.Limit, restUntil: s.RestUntil, returning: s.Returning,
+		limit: s.Limit, brittle: s.Brittle, restUntil: s.RestUntil, returning: s.Returning,
 	}
 	for _, t := range s.AwaitingFirstByte {
 		l.awaitingFirstByte = append(l.awaitingFirstByte, &InFlight{sentAt: t.SentAt, predictedWait: t.PredictedWait})
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -109,7 +109,7 @@
 		VM: g.settings.Name, EndpointLoads: g.scheduler.EndpointLoads(now), Demand: make(map[string]allocation.Demand),
 		SyncedRevision: g.knownRevision, Aggregator: g.aggregatorIncarnation, ReceivedChanges: g.receivedChanges,
 		PackedViews: true, Limits: g.knownLimits(now), Departures: g.knownDepartures(now),
-		PathLost: g.path.Lost(),
+		PathLost: g.path.Lost(), Brittle: g.knownBrittle(now),
 	}
 	for service, meter := range g.demandMeters {
 		report.Demand[service] = meter.Rates(now)
@@ -162,6 +162,8 @@
 	g.mergeDepartures(now, received.Departures)
 	s.Departures = g.knownDepartures(now)
 	s.LostPaths = g.reports.LostPaths(now)
+	g.mergeBrittle(now, received.Brittle)
+	s.Brittle = g.knownBrittle(now)
 	if view, ok := g.storeLog.Since(now, received.SyncedRevision, maxViewAge); ok && received.VM != g.settings.Name {
 		if received.PackedViews {
 			g.storeLog.Pack(&view)
@@ -212,6 +214,7 @@
 	}
 	g.applyLimits(now, s.Limits)
 	g.mergeDepartures(now, s.Departures)
+	g.mergeBrittle(now, s.Brittle)
 	g.lostPeers = make(map[string]bool, len(s.LostPaths))
 	for _, name := range s.LostPaths {
 		g.lostPeers[name] = true
--- a/transport/gateway/endpoint.go
+++ b/transport/gateway/endpoint.go
@@ -77,6 +77,13 @@
 			}
 			g.recordAdapterUse(clock.Now(), choice.Runner.ID, x.request.Unit)
 			return choice, g.quarantineRefusal(clock.Now(), x)
+		case !ok && o.full && admission.PermitTimeout(now, &x.request) <= 0:
+			return choice, g.refuseFull(x, o)
+		case !ok && o.full:
+			if !pause(ctx, nil, deferInterval) {
+				return choice, g.refuseWithoutEndpoint(x, o.runners, o.syncAge)
+			}
+			continue
 		case !ok && o.runners > 0 && o.unavailable:
 			return choice, g.refuseUnavailable(now, x, o.runners, o.restUntil, o.syncAge)
 		case x.binding == nil && o.isUnloaded:
@@ -107,6 +114,8 @@
 	// unavailable reports that all of them drain or rest, and restUntil is when the first rest ends, or zero.
 	unavailable bool
 	restUntil   time.Time
+	// full reports that there is no choice because brittle endpoints have no place for the request.
+	full bool
 	// isUnloaded reports that none of them holds the model, which unloaded describes.
 	isUnloaded bool
 	unloaded   admission.Unloaded
@@ -123,6 +132,7 @@
 	o := options{runners: len(runners), syncAge: now.Sub(g.syncedAt), changed: g.directoryChanged}
 	o.choice, o.ok = g.scheduler.Choose(now, &x.request, runners, excluded)
 	o.restUntil, o.unavailable = g.scheduler.Unavailable(now, runners)
+	o.full = !o.ok && g.scheduler.Full(now, &x.request, runners, excluded)
 	o.unloaded, o.isUnloaded = g.unloadedModel(now, x, runners)
 	return o
 }
@@ -217,6 +227,15 @@
 	return refusal
 }
 
+// refuseFull refuses a request that found no place on brittle endpoints in time.
+func (g *Gateway) refuseFull(x *exchange, o options) *lifecycle.NoEndpoint {
+	refusal := &lifecycle.NoEndpoint{
+		Reason: "the endpoints of service " + x.service + " are brittle and have no place", RetryAfter: noEndpointRetryAfter,
+	}
+	g.log.Emit(eventlog.NoEndpoint, x.request.ID, refusal.Reason, o.runners, o.syncAge.Milliseconds())
+	return refusal
+}
+
 // refuseStopping refuses a request that waits while the process stops. The caller may go to another VM at once.
 func (g *Gateway) refuseStopping(x *exchange, o options) *lifecycle.NoEndpoint {
 	refusal := &lifecycle.NoEndpoint{
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -187,6 +187,7 @@
 	header := &x.call.Response.Header
 	head := platform.ReadResponseHead(header)
 	x.recordLimit(head)
+	x.recordBrittle(head)
 	x.recordStanding(head)
 	if head.NotRun {
 		return x.handleDecline(ctx, head)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -72,6 +72,8 @@
 	scheduler *dispatch.Scheduler
 	limits    *limits.Registry
 	permits   *limits.Permits
+	// brittle holds the requests that runners may turn away within a second, over all VMs.
+	brittle *limits.Registry
 	// origins holds where streams began that this VM served, and versions the recorded versions of software.
 	origins  *origins.Table
 	versions *origins.Versions
@@ -178,6 +180,7 @@
 		readingVersions:  make(chan struct{}, 1),
 		originsQueued:    make(chan struct{}, 1),
 		limits:           limits.NewRegistry(),
+		brittle:          limits.NewRegistry(),
 		permits:          limits.NewPermits(),
 		retryBudgets:     make(map[string]*lifecycle.RetryBudget),
 		random:           rand.New(rand.NewPCG(uint64(now.UnixNano()), 0)),
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -223,8 +223,9 @@
 	g.log.Emit(eventlog.OwnerChanged, w.Runner, "claimed from "+w.FormerOwner, revision, w.OrderDelay.Milliseconds())
 }
 
-// updateBudgetMembers sets the number of VMs that share the retry budgets. The caller must hold the lock.
+// updateBudgetMembers sets the number of VMs that share the retry budgets and the places of brittle runners. The caller must hold the lock.
 func (g *Gateway) updateBudgetMembers(now time.Time) {
+	g.scheduler.SetMembers(g.members())
 	for _, budget := range g.retryBudgets {
 		budget.SetMembers(now, g.members())
 	}
--- a/transport/gateway/metrics.go
+++ b/transport/gateway/metrics.go
@@ -41,6 +41,8 @@
 	// forwards counts the requests that this VM forwarded to another one, by how that ended, and those of other VMs that it did
 	// not take.
 	forwards = expvar.NewMap("gatewayForwards")
+	// runnersTurnedAway counts the requests that brittle runners turned away.
+	runnersTurnedAway = expvar.NewInt("brittleTurnedAway")
 	// limitRecords counts the changes of limits that runners name, and the requests sent to runners that named one.
 	limitRecords = expvar.NewMap("gatewayLimits")
 )
