--- a/transport/gateway/aggregator.go
+++ b/transport/gateway/aggregator.go
@@ -73,6 +73,7 @@
 func (g *Gateway) removeMember(now time.Time, name string) {
 	g.owners.RemoveMember(now, name)
 	delete(g.offeredAt, name)
+	delete(g.slowPeers, name)
 	delete(g.memberValues, name)
 	g.aggregators = nil
 }
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -37,12 +37,17 @@
 )
 
 func (g *Gateway) serveCallers(tasks *group.Group, listener net.Listener) {
+	g.serveAll(tasks, listener, "callers", g.serveRequest)
+}
+
+// serveAll serves the requests to a listener, whatever their method and path, with one handler.
+func (g *Gateway) serveAll(tasks *group.Group, listener net.Listener, name string, handler app.HandlerFunc) {
 	bounds := httpserve.Bounds{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, ReadTimeout: readTimeout}
 	server := httpserve.NewServer(listener, bounds, false)
 	server.Panicked = func(cause error, stack []byte) { g.log.Emit(eventlog.HandlerPanicked, cause, string(stack)) }
-	server.NoRoute(g.serveRequest)
-	server.NoMethod(g.serveRequest)
-	server.Start(tasks, "callers")
+	server.NoRoute(handler)
+	server.NoMethod(handler)
+	server.Start(tasks, name)
 }
 
 func (g *Gateway) serveReadiness(tasks *group.Group, listener net.Listener) {
--- a/transport/gateway/forwarded.go
+++ b/transport/gateway/forwarded.go
@@ -11,17 +11,11 @@
 	"github.com/zinniaroute/zinniaroute/protocol/vm"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 	"github.com/zinniaroute/zinniaroute/transport/group"
-	"github.com/zinniaroute/zinniaroute/transport/httpserve"
 )
 
 // serveForwards takes requests that other VMs forward.
 func (g *Gateway) serveForwards(tasks *group.Group, listener net.Listener) {
-	bounds := httpserve.Bounds{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, ReadTimeout: readTimeout}
-	server := httpserve.NewServer(listener, bounds, false)
-	server.Panicked = func(cause error, stack []byte) { g.log.Emit(eventlog.HandlerPanicked, cause, string(stack)) }
-	server.NoRoute(g.serveForwarded)
-	server.NoMethod(g.serveForwarded)
-	server.Start(tasks, "forwarded requests")
+	g.serveAll(tasks, listener, "forwarded requests", g.serveForwarded)
 }
 
 // serveForwarded serves a request that another VM forwards for its caller. It sends the request to an endpoint or not at all.
