Ascribe requests in a runner's rest to the VM that sent them to it

The check went by the VM that the caller asked. A forwarded request reaches the runner from another VM, which alone is told of the rest.

--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -62,6 +62,8 @@
 	// endpoint needs for an answer.
 	StreamEvents int
 	Pause        time.Duration
+	// Identify returns the name of the VM that has opened a connection from an address. It is nil if VMs have no names.
+	Identify func(address netip.AddrPort) string
 }
 
 // Run is a request that a runner has started to execute.
--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -144,6 +144,22 @@
 	delete(p.links, l)
 }
 
+// CallerBehind returns the name of the caller whose data come from an address of the proxy, as the target sees it, or "".
+func (p *Proxy) CallerBehind(address netip.AddrPort) string {
+	p.mu.Lock()
+	var found *link
+	for l := range p.links {
+		if local, ok := l.target.LocalAddr().(*net.TCPAddr); ok && local.Port == int(address.Port()) {
+			found = l
+		}
+	}
+	p.mu.Unlock()
+	if found == nil {
+		return ""
+	}
+	return found.name()
+}
+
 func (p *Proxy) newLink(caller net.Conn) *link {
 	return &link{caller: caller, name: sync.OnceValue(func() string {
 		remote, isTCP := caller.RemoteAddr().(*net.TCPAddr)
