Find the end of a request in traces also when a crash is logged after it

zinniactl trace said that the logs do not contain the end of a request whose connection a runner ended: event 512 follows the final event since crashes are held until a check of the path.

--- a/eventlog/trace/cause.go
+++ b/eventlog/trace/cause.go
@@ -2,13 +2,30 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/zinniaroute/zinniaroute/eventlog"
 )
 
+// ending holds the numbers of the events with which a request ends. A crash under it may be logged later.
+var ending = []int{
+	eventlog.RequestServed.Number, eventlog.RequestNotServed.Number, eventlog.RequestRefusedStopping.Number,
+	eventlog.NoRoute.Number,
+}
+
+// end returns the event with which the request ended, or its latest event if the logs do not contain the end.
+func (t *Trace) end() Record {
+	for i := len(t.OwnEvents) - 1; i >= 0; i-- {
+		if slices.Contains(ending, t.OwnEvents[i].Event) {
+			return t.OwnEvents[i]
+		}
+	}
+	return t.OwnEvents[len(t.OwnEvents)-1]
+}
+
 // cause explains the outcome of the request in one sentence.
 func (t *Trace) cause() string {
-	last := t.OwnEvents[len(t.OwnEvents)-1]
+	last := t.end()
 	switch last.Event {
 	case eventlog.RequestServed.Number:
 		return t.servedCause(last)
