Apply what is known of brittle runners to those that are listed later

A runner that is listed, or listed again, after it was known as brittle was taken for a sound one until it said something else: the scheduler forgets runners without an entry, and was told of changes only. It is now told with each exchange.

--- a/transport/gateway/brittle.go
+++ b/transport/gateway/brittle.go
@@ -57,5 +57,12 @@
 			g.scheduler.RecordTurnedAwayElsewhere(now, b.Runner, now.Add(-b.TurnedAwayAge), g.random.Float64())
 		}
 	}
-	g.brittle.Forget(now, func(runner string) bool { return g.directory.Get(runner) != nil })
+	listed := func(runner string) bool { return g.directory.Get(runner) != nil }
+	g.brittle.Forget(now, listed)
+	// A runner may have been listed, or listed again, since it became brittle.
+	for _, named := range g.brittle.Current(now) {
+		if listed(named.Runner) {
+			g.scheduler.RecordBrittle(now, named.Runner, named.PerSecond, g.random.Float64())
+		}
+	}
 }
