--- a/integration/gateway_harness_test.go
+++ b/integration/gateway_harness_test.go
@@ -197,20 +197,21 @@
 	return node
 }
 
+// internalPorts is the number of a gateway's internal ports.
+const internalPorts = 3
+
 // startGateway starts a gateway and does not wait until it is ready.
 func (d *deployment) startGateway(name string) gatewayNode {
 	d.t.Helper()
-	first, second, third := freeAddress(d.t), freeAddress(d.t), freeAddress(d.t)
-	for third.Port() != first.Port()+2 {
-		first, second, third = second, third, freeAddress(d.t)
-	}
+	first := freePorts(d.t, internalPorts)
 	node := gatewayNode{
-		callers: freeAddress(d.t), readiness: freeAddress(d.t), operations: second,
-		settings: filepath.Join(d.directory, name+".jsonc"),
+		callers: freeAddress(d.t), readiness: freeAddress(d.t),
+		operations: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(first+1)),
+		settings:   filepath.Join(d.directory, name+".jsonc"),
 	}
 	link, storeAddress := d.startLinkProxy(d.storeAddress)
 	d.storeLinks[name] = link
-	text := fmt.Sprintf(settingsText, name, node.callers, node.readiness, first.Port(), third.Port(), storeAddress)
+	text := fmt.Sprintf(settingsText, name, node.callers, node.readiness, first, first+internalPorts-1, storeAddress)
 	assert.NilError(d.t, os.WriteFile(node.settings, []byte(text), 0o600))
 	d.gateways[name] = node
 	d.startProcess(name, "gateway", "--settings", node.settings)
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -139,6 +139,29 @@
 
 // freeAddress returns a loopback address on which a new process can listen. The test process must not listen on it at
 // once: a child process that another test forks at this moment keeps the port open until it executes its program.
+// freePorts returns the first of several free loopback ports in a row. No other call uses the same ports.
+func freePorts(t *testing.T, count int32) int {
+	t.Helper()
+	for {
+		last := firstPort + portsTaken.Add(count)
+		if last > lastPort {
+			t.Fatal("all ports of the tests are used up")
+		}
+		first, free := last-count+1, true
+		for port := first; port <= last; port++ {
+			listener, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
+			if err != nil {
+				free = false
+				break
+			}
+			assert.NilError(t, listener.Close())
+		}
+		if free {
+			return int(first)
+		}
+	}
+}
+
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
 	listener := listen(t)
