--- a/review/drive/deployment.go
+++ b/review/drive/deployment.go
@@ -30,6 +30,7 @@
 	contactTime = 3 * time.Second
 	drainTime   = 2 * time.Second
 	leaseTime   = 3 * time.Second
+	thawTime    = 300 * time.Millisecond
 	graceTime   = 8 * time.Second
 )
 
@@ -152,7 +153,7 @@
 
 // configure writes a configuration with one route of each kind.
 func (d *deployment) configure(version int) {
-	model := caller.Model{Name: "large", MemoryMB: 72_700, LoadS: 1.2, WarmS: 0.63, DiskS: 0.82, Adapters: 16, AdapterMB: 66}
+	model := caller.Model{Name: "large", MemoryMB: 72_700, LoadS: 1.2, WarmS: 0.63, DiskS: 0.82, Adapters: 74, AdapterMB: 66}
 	route := func(name, prefix, kind, service string, attempts int) caller.Route {
 		return caller.Route{
 			Name: name, Host: host, Prefix: prefix, Kind: kind, TimeoutMS: 8000, TargetLatencyMS: 1500, Priority: 1,
