Show that one request ends a whole gateway

Cause: a panic while the HTTP library reads a request's header is not recovered, so it ends the process with all requests in flight.

--- a/review/drive/deployment.go
+++ b/review/drive/deployment.go
@@ -65,6 +65,8 @@
 	settings           string
 	storeLink          *proxy.Proxy
 	command            *exec.Cmd
+	// exited is closed when the process has ended.
+	exited chan struct{}
 }
 
 func newDeployment(recordPath string) (*deployment, error) {
@@ -252,11 +254,40 @@
 	if err := n.command.Start(); err != nil {
 		panic(err)
 	}
+	n.exited = make(chan struct{})
+	go func() {
+		defer close(n.exited)
+		_ = n.command.Wait()
+	}()
 }
 
 func (n *node) kill() {
 	_ = n.command.Process.Kill()
-	_ = n.command.Wait()
+	<-n.exited
+}
+
+// ended returns how the process has ended, or "" if it runs.
+func (n *node) ended() string {
+	select {
+	case <-n.exited:
+		return n.command.ProcessState.String()
+	default:
+		return ""
+	}
+}
+
+// panicLine returns the line of the gateway's output that names a panic, or "".
+func (d *deployment) panicLine(n *node) string {
+	data, err := os.ReadFile(filepath.Join(d.directory, n.name+".log"))
+	if err != nil {
+		return ""
+	}
+	for line := range strings.Lines(string(data)) {
+		if strings.HasPrefix(line, "panic:") {
+			return strings.TrimSpace(line)
+		}
+	}
+	return ""
 }
 
 // awaitReady waits until the gateway says that it is ready.
--- a/review/drive/healed.go
+++ b/review/drive/healed.go
@@ -27,6 +27,11 @@
 	streamEvents    = 20
 	streamPause     = 60 * time.Millisecond
 	rounds          = 8
+	// runnerCount is the number of runners, and leavingCount the number of those that leave in a round, one each
+	// leaveInterval.
+	runnerCount   = 12
+	leavingCount  = 3
+	leaveInterval = 150 * time.Millisecond
 )
 
 // attempt is a request of a client, with its outcome.
@@ -40,8 +45,13 @@
 func healed(d *deployment, trouble bool) []string {
 	d.configure(1)
 	var runners []*modelRunner
-	for i := range 4 {
-		runners = append(runners, d.addModelRunner(fmt.Sprintf("i-%d", i+1), streamEvents, streamPause))
+	added := 0
+	addRunner := func() {
+		added++
+		runners = append(runners, d.addModelRunner(fmt.Sprintf("i-%d", added), streamEvents, streamPause))
+	}
+	for range runnerCount {
+		addRunner()
 	}
 	var nodes []*node
 	for i := range 4 {
@@ -55,9 +65,12 @@
 	stop := clients.start()
 	leftAt := make(map[*modelRunner]time.Time)
 	var left []*modelRunner
-	for i := range rounds {
-		leaving := runners[0]
-		runners = append(runners[1:], d.addModelRunner(fmt.Sprintf("i-%d", i+5), streamEvents, streamPause))
+	for range rounds {
+		leaving := runners[:leavingCount]
+		runners = runners[leavingCount:]
+		for range leavingCount {
+			addRunner()
+		}
 		if trouble {
 			d.note("%s is cut off from the store", nodes[0].name)
 			nodes[0].storeLink.Set(proxy.Faults{Freeze: true, RefuseNew: true})
@@ -67,13 +80,17 @@
 			d.note("%s reaches the store again", nodes[0].name)
 			nodes[0].storeLink.Set(proxy.Faults{})
 		}
-		time.Sleep(time.Duration(i%4) * 150 * time.Millisecond)
-		leftAt[leaving] = leaving.leave()
-		left = append(left, leaving)
-		d.note("the store has acknowledged that runner %s is gone", leaving.id)
-		time.Sleep(time.Until(leftAt[leaving].Add(drainTime + lingerTime)))
-		leaving.exit()
-		d.note("runner %s has ended", leaving.id)
+		for _, r := range leaving {
+			leftAt[r] = r.leave()
+			d.note("the store has acknowledged that runner %s is gone", r.id)
+			time.Sleep(leaveInterval)
+		}
+		for _, r := range leaving {
+			time.Sleep(time.Until(leftAt[r].Add(drainTime + lingerTime)))
+			r.exit()
+			d.note("runner %s has ended", r.id)
+		}
+		left = append(left, leaving...)
 		time.Sleep(contactTime)
 	}
 	stop()
