--- a/review/drive/runner.go
+++ b/review/drive/runner.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,3 +92,8 @@
 	defer r.mu.Unlock()
 	return append([]run(nil), r.runs...)
 }
+
+// ran reports whether the runner has begun to work on an attempt.
+func (r *plainRunner) ran(attempt string) bool {
+	return slices.ContainsFunc(r.allRuns(), func(run run) bool { return run.attempt == attempt })
+}
