--- a/review/drive/deployment.go
+++ b/review/drive/deployment.go
@@ -30,7 +30,6 @@
 	contactTime = 3 * time.Second
 	drainTime   = 2 * time.Second
 	leaseTime   = 3 * time.Second
-	thawTime    = 300 * time.Millisecond
 	graceTime   = 8 * time.Second
 )
 
