Reject requests whose end is ambiguous

Cause: requests were passed on as the HTTP library had read them. Of several lengths it takes the last one, and it takes any transfer coding for chunks and the end of a shifted buffer twice after a folded line. Each of these hides a request inside another one.

All servers now check the header as it was received, read by the language's own library, answer 400 and close the connection, so that nothing behind such a request is read. This is what RFC 9112 asks of recipients.

--- /dev/null
+++ b/transport/framing/framing.go
@@ -0,0 +1,81 @@
+package framing
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/textproto"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+)
+
+const (
+	fieldContentLength    = "Content-Length"
+	fieldTransferEncoding = "Transfer-Encoding"
+	fieldHost             = "Host"
+	codingChunked         = "chunked"
+)
+
+// CheckRequest returns an error if recipients could disagree on the method, target, host or end of a request (RFC 9112,
+// sections 3, 5.2 and 6.3). The HTTP library must have read the header.
+func CheckRequest(header *protocol.RequestHeader) error {
+	if !isVisible(header.Method()) {
+		return errors.Errorf("method %q has other than visible characters", header.Method())
+	}
+	if !isVisible(header.RequestURI()) {
+		return errors.Errorf("target %q has other than visible characters", header.RequestURI())
+	}
+	fields, err := readFields(header.RawHeaders())
+	if err != nil {
+		return err
+	}
+	if hosts := fields[fieldHost]; len(hosts) > 1 {
+		return errors.Errorf("request names %d hosts", len(hosts))
+	}
+	if _, coded := fields[fieldTransferEncoding]; coded && !header.IsHTTP11() {
+		return errors.Errorf("request of %s has a transfer coding", header.GetProtocol())
+	}
+	return checkEnd(fields)
+}
+
+// isVisible reports whether no byte is a space or a control character.
+func isVisible(text []byte) bool {
+	return !bytes.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r == 0x7f })
+}
+
+// readFields returns the header fields by canonical name.
+func readFields(raw []byte) (textproto.MIMEHeader, error) {
+	if bytes.Contains(raw, []byte("\n ")) || bytes.Contains(raw, []byte("\n\t")) {
+		return nil, errors.New("header has a folded line")
+	}
+	if len(raw) == 0 {
+		return nil, nil
+	}
+	fields, err := textproto.NewReader(bufio.NewReaderSize(bytes.NewReader(raw), len(raw))).ReadMIMEHeader()
+	if err != nil && !errors.Is(err, io.EOF) {
+		return nil, errors.Wrap(err, "read header")
+	}
+	for name := range fields {
+		if strings.Contains(name, " ") {
+			return nil, errors.Errorf("field name %q has a space", name)
+		}
+	}
+	return fields, nil
+}
+
+// checkEnd returns an error if more than one field says where the body ends, or if one does so in an unknown way.
+func checkEnd(fields textproto.MIMEHeader) error {
+	lengths, codings := fields[fieldContentLength], fields[fieldTransferEncoding]
+	switch {
+	case len(lengths) > 1:
+		return errors.Errorf("message names %d lengths: %q", len(lengths), lengths)
+	case len(lengths) > 0 && len(codings) > 0:
+		return errors.Errorf("message has length %q and transfer coding %q", lengths[0], codings[0])
+	case len(codings) > 1 || len(codings) == 1 && !strings.EqualFold(codings[0], codingChunked):
+		return errors.Errorf("message has transfer codings %q", codings)
+	default:
+		return nil
+	}
+}
--- a/transport/httpserve/server.go
+++ b/transport/httpserve/server.go
@@ -15,6 +15,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/pkg/errors"
 
+	"github.com/zinniaroute/zinniaroute/transport/framing"
 	"github.com/zinniaroute/zinniaroute/transport/group"
 )
 
@@ -47,10 +48,17 @@
 	Panicked func(cause error, stack []byte)
 }
 
-const statusInternalError = 500
+const (
+	statusBadRequest    = 400
+	statusInternalError = 500
+)
 
-// handlerPanics counts the requests whose handlers panicked.
-var handlerPanics = expvar.NewInt("handlerPanics")
+// handlerPanics counts the requests whose handlers panicked, and ambiguousRequests those that other recipients could
+// read differently.
+var (
+	handlerPanics     = expvar.NewInt("handlerPanics")
+	ambiguousRequests = expvar.NewInt("ambiguousRequests")
+)
 
 // DisableLibraryLog disables the log of the HTTP library in the whole process, except for fatal errors. It must be
 // called before the first server starts.
@@ -85,10 +93,20 @@
 		server.WithRedirectTrailingSlash(false),
 	)
 	s := &Server{Hertz: hertz, listener: listener}
-	hertz.Use(recovery.Recovery(recovery.WithRecoveryHandler(s.recover)))
+	hertz.Use(recovery.Recovery(recovery.WithRecoveryHandler(s.recover)), rejectAmbiguous)
 	return s
 }
 
+// rejectAmbiguous rejects a request that other recipients could read differently, and closes its connection, because
+// what follows may be a part of the request.
+func rejectAmbiguous(_ context.Context, c *app.RequestContext) {
+	if err := framing.CheckRequest(&c.Request.Header); err != nil {
+		ambiguousRequests.Add(1)
+		c.AbortWithMsg(err.Error(), statusBadRequest)
+		c.SetConnectionClose()
+	}
+}
+
 // recover ends the request whose handler panicked. A response that has begun must not look complete.
 func (s *Server) recover(_ context.Context, c *app.RequestContext, cause any, stack []byte) {
 	handlerPanics.Add(1)
