Reject responses whose end is ambiguous

A response that names two lengths was passed on with a part of its body and looked complete; so was one with a length and chunks, an unknown coding, a folded line (whose body gains bytes) or another protocol's name.

Cause: the HTTP library takes the last of several lengths and any coding for chunks, and checks neither the protocol nor the digits of the status.

The client checks the head of each response before the library reads it. What it rejects counts as bytes that are no response, so that the request may have run and the connection is not used again. A head that exceeds the buffer counts so too.

Evidence: TestResponseWithAnAmbiguousEndIsTakenForAWholeOne fails without the check for 12 of 12 responses (11 taken for whole ones, one for a lost connection) and passes with it.

--- a/transport/framing/framing.go
+++ b/transport/framing/framing.go
@@ -5,12 +5,16 @@
 	"bytes"
 	"io"
 	"net/textproto"
+	"regexp"
 	"strings"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
 )
 
+// statusLine matches the first line of a response (RFC 9112, section 4).
+var statusLine = regexp.MustCompile(`^HTTP/1\.([0-9]) [0-9]{3}(?: |$)`)
+
 const (
 	fieldContentLength    = "Content-Length"
 	fieldTransferEncoding = "Transfer-Encoding"
@@ -34,10 +38,22 @@
 	if hosts := fields[fieldHost]; len(hosts) > 1 {
 		return errors.Errorf("request names %d hosts", len(hosts))
 	}
-	if _, coded := fields[fieldTransferEncoding]; coded && !header.IsHTTP11() {
-		return errors.Errorf("request of %s has a transfer coding", header.GetProtocol())
+	return checkEnd(fields, header.IsHTTP11())
+}
+
+// CheckResponse returns an error if a head is not that of a response in the protocol, or if recipients could disagree on
+// the end of the response. The head begins with the status line and ends with the empty line.
+func CheckResponse(head []byte) error {
+	line, raw, _ := bytes.Cut(head, []byte("\n"))
+	status := statusLine.FindSubmatch(bytes.TrimSuffix(line, []byte("\r")))
+	if status == nil {
+		return errors.Errorf("status line %q", line)
+	}
+	fields, err := readFields(raw)
+	if err != nil {
+		return err
 	}
-	return checkEnd(fields)
+	return checkEnd(fields, string(status[1]) != "0")
 }
 
 // isVisible reports whether no byte is a space or a control character.
@@ -65,8 +81,9 @@
 	return fields, nil
 }
 
-// checkEnd returns an error if more than one field says where the body ends, or if one does so in an unknown way.
-func checkEnd(fields textproto.MIMEHeader) error {
+// checkEnd returns an error if more than one field says where the body ends, or if one does so in an unknown way. HTTP/1.0
+// has no transfer codings.
+func checkEnd(fields textproto.MIMEHeader, codingsDefined bool) error {
 	lengths, codings := fields[fieldContentLength], fields[fieldTransferEncoding]
 	switch {
 	case len(lengths) > 1:
@@ -75,6 +92,8 @@
 		return errors.Errorf("message has length %q and transfer coding %q", lengths[0], codings[0])
 	case len(codings) > 1 || len(codings) == 1 && !strings.EqualFold(codings[0], codingChunked):
 		return errors.Errorf("message has transfer codings %q", codings)
+	case len(codings) > 0 && !codingsDefined:
+		return errors.New("message of HTTP/1.0 has a transfer coding")
 	default:
 		return nil
 	}
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -158,6 +158,9 @@
 
 func (e *Exchange) readResponse(options Options) error {
 	for range maxSkippedResponses + 1 {
+		if err := checkHead(e.conn); err != nil {
+			return &Error{Stage: StageHeader, Cause: err}
+		}
 		if err := resp.ReadHeaders(e.Response, e.conn); err != nil {
 			return &Error{Stage: StageHeader, Cause: headerCause(e.conn, err)}
 		}
--- a/transport/httpcall/conn.go
+++ b/transport/httpcall/conn.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/pkg/errors"
+
+	"github.com/zinniaroute/zinniaroute/transport/framing"
 )
 
 const (
@@ -67,6 +70,39 @@
 	return n, err
 }
 
+// checkHead waits for the head of a response and checks it, without consuming it.
+func checkHead(conn network.Conn) error {
+	for n := 1; ; n = conn.Len() + 1 {
+		if _, err := conn.Peek(n); err != nil {
+			return headerCause(conn, err)
+		}
+		buffered, err := conn.Peek(conn.Len())
+		if err != nil {
+			return headerCause(conn, err)
+		}
+		head, complete := cutHead(buffered)
+		if !complete {
+			continue
+		}
+		if err := framing.CheckResponse(head); err != nil {
+			return errors.WithMessage(errNoResponse, err.Error())
+		}
+		return nil
+	}
+}
+
+// cutHead returns the bytes from the status line to the empty line that ends the head. It skips empty lines before it, as
+// the HTTP library does, and reports false if the head is incomplete.
+func cutHead(buffered []byte) (head []byte, complete bool) {
+	head = bytes.TrimLeft(buffered, "\r\n")
+	for _, end := range []string{"\n\r\n", "\n\n"} {
+		if i := bytes.Index(head, []byte(end)); i >= 0 {
+			head, complete = head[:i+len(end)], true
+		}
+	}
+	return head, complete
+}
+
 // errNoResponse means that the endpoint sent bytes that are no response.
 var errNoResponse = errors.New("the endpoint sent no response in the protocol")
 
@@ -76,7 +112,7 @@
 	switch {
 	case ok && c.readError != nil:
 		return c.readError
-	case ok && errors.Is(err, io.EOF):
+	case errors.Is(err, bufio.ErrBufferFull), ok && errors.Is(err, io.EOF):
 		return errNoResponse
 	default:
 		return err
--- /dev/null
+++ b/transport/httpcall/framing_test.go
@@ -0,0 +1,44 @@
+package httpcall
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A response whose end is ambiguous would be passed on with a part of its body, or with bytes that are none of it, and look
+// complete.
+func TestResponseWithAnAmbiguousEndIsTakenForAWholeOne(t *testing.T) {
+	tests := []struct{ name, response string }{
+		{"the length is that of the body, then shorter", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 2\r\n\r\nright"},
+		{"the length is shorter, then that of the body", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 5\r\n\r\nright"},
+		{"two lengths in one field", "HTTP/1.1 200 OK\r\nContent-Length: 5, 2\r\nContent-Length: 2\r\n\r\nright"},
+		{"space after a field name", "HTTP/1.1 200 OK\r\nContent-Length : 5\r\nContent-Length: 2\r\n\r\nright"},
+		{"length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nri\r\n0\r\n\r\n"},
+		{"unknown coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: odd\r\n\r\n2\r\nri\r\n0\r\n\r\n"},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nri\r\n0\r\n\r\n"},
+		{"folded line", "HTTP/1.1 200 OK\r\nX-Folded: a\r\n b\r\n\r\nright"},
+		{"line end in a field value", "HTTP/1.1 200 OK\r\nX-Value: a\rContent-Length: 2\r\n\r\nright"},
+		{"another protocol", "HTTQ/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright"},
+		{"a status of four digits", "HTTP/1.1 2000 OK\r\nContent-Length: 5\r\n\r\nright"},
+		{"a status of two digits", "HTTP/1.1 20 OK\r\nContent-Length: 5\r\n\r\nright"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p, address := newPeer(t)
+			p.serve(t, test.response)
+			client := NewClient(time.Second)
+			exchange, err := client.Start(context.Background(), address, NewRequest("GET", address, "/", nil), Options{})
+			if err == nil {
+				_, err = exchange.ReadAll(context.Background(), 100)
+			}
+			assert.Assert(t, err != nil, "the response is taken for a whole one")
+			assert.Check(t, WasSent(err), "the request is called not sent: %v", err)
+			assert.Check(t, !BeforeAnswer(err), "the response is taken for a lost connection: %v", err)
+			_, kept := client.takeIdle(address)
+			assert.Check(t, !kept, "the connection is used again")
+		})
+	}
+}
