Accept a length that is repeated

RFC 9112 lets a recipient take several equal lengths for one, so a caller that sends them twice is not refused.

--- a/transport/framing/framing.go
+++ b/transport/framing/framing.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/textproto"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -86,7 +87,7 @@
 func checkEnd(fields textproto.MIMEHeader, codingsDefined bool) error {
 	lengths, codings := fields[fieldContentLength], fields[fieldTransferEncoding]
 	switch {
-	case len(lengths) > 1:
+	case len(lengths) > 1 && len(slices.Compact(slices.Clone(lengths))) > 1:
 		return errors.Errorf("message names %d lengths: %q", len(lengths), lengths)
 	case len(lengths) > 0 && len(codings) > 0:
 		return errors.Errorf("message has length %q and transfer coding %q", lengths[0], codings[0])
