Forward an entry that returns unchanged after an outage

After an outage of the store in which entries expired, all VMs but the one that reads the store dropped a living runner when the time of grace was over, and did not use it again until its entry changed.

Cause: the reader forwards an entry only if it differs from the last one that it read. An entry that expired returns as it was, and the listing after the outage had removed it from the log of what is forwarded.

The log now reports that it lacks the key, and the entry is forwarded.

Evidence: TestEntryThatReturnsAfterAnOutageIsNotForwarded finds the entry in neither of two views without the change, and in both with it.

--- a/coordination/relay/content_test.go
+++ b/coordination/relay/content_test.go
@@ -30,3 +30,11 @@
 	_, ok = log.Since(now.Add(time.Second), 5, time.Minute)
 	assert.Assert(t, ok, "a sync ends the suspension")
 }
+
+func TestValueOfAKeyThatTheLogLacksIsNotUpdated(t *testing.T) {
+	log := NewLog()
+	log.Put(Item{Key: "a", Value: []byte("1"), Revision: 2})
+	assert.Assert(t, log.UpdateValue(Item{Key: "a", Value: []byte("2"), Revision: 3}))
+	log.ApplyListing(nil, 4)
+	assert.Assert(t, !log.UpdateValue(Item{Key: "a", Value: []byte("2"), Revision: 5}), "other VMs would not get the key")
+}
--- a/coordination/relay/log.go
+++ b/coordination/relay/log.go
@@ -70,13 +70,16 @@
 }
 
 // UpdateValue replaces the value of a key after a change that other VMs do not need. It keeps the revision, so that VMs
-// that have the key do not get it again.
-func (l *Log) UpdateValue(item Item) {
-	if known, ok := l.items[item.Key]; ok {
-		known.Value = item.Value
-		l.items[item.Key] = known
-		delete(l.packed, item.Key)
+// that have the key do not get it again. It reports false if the log does not have the key, so that other VMs need it.
+func (l *Log) UpdateValue(item Item) bool {
+	known, ok := l.items[item.Key]
+	if !ok {
+		return false
 	}
+	known.Value = item.Value
+	l.items[item.Key] = known
+	delete(l.packed, item.Key)
+	return true
 }
 
 // ApplyListing applies a complete listing at a revision: it removes the keys that are not present. Some removals before
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -335,11 +335,9 @@
 	forwarded := relay.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if relevant {
+	if relevant || !g.storeLog.UpdateValue(forwarded) {
 		g.storeLog.Put(forwarded)
-		return
 	}
-	g.storeLog.UpdateValue(forwarded)
 }
 
 // applyCoordinationItem applies a change of a member key, an owner key, a quarantine, the settled era or a load permit.
--- a/transport/gateway/store_test.go
+++ b/transport/gateway/store_test.go
@@ -61,6 +61,31 @@
 	}
 }
 
+// An entry that expired during an outage of the store returns as it was. The other VMs must get it again.
+func TestEntryThatReturnsAfterAnOutageIsNotForwarded(t *testing.T) {
+	entry := platform.Item{
+		Key: platform.RunnersPrefix + "r1", Revision: fleet.NewRevision(0, 5),
+		Value: []byte(`{"service": "plain", "address": "10.0.0.9:8000", "zone": "a", "version": 1, "slots": 6, "state": "ready", "sequence": 0}`),
+	}
+	now := time.Unix(1_000_000, 0)
+	v := &simulatedVM{name: "vm-1"}
+	v.start(now)
+	g := v.gateway
+	assert.NilError(t, g.applyStoreListing(now, now, []platform.Item{entry}, entry.Revision, 0))
+	now = now.Add(5 * time.Second)
+	listed := fleet.NewRevision(0, 6)
+	assert.NilError(t, g.applyStoreListing(now, now, nil, listed, entryReturnGrace))
+	now = now.Add(time.Second)
+	entry.Revision = fleet.NewRevision(0, 7)
+	g.applyEvents(now, now, []platform.Item{entry}, entry.Revision)
+	assert.Assert(t, g.directory.Get("r1") != nil)
+	for _, known := range []fleet.Revision{0, listed} {
+		view, ok := g.storeLog.Since(now, known, time.Second)
+		assert.Assert(t, ok)
+		assert.Equal(t, len(view.Items), 1, "to a VM that knows %v", known)
+	}
+}
+
 func TestOlderConfigurationReplacesANewerOneThatArrivesBesideIt(t *testing.T) {
 	const pairs = 200_000
 	v := &simulatedVM{name: "vm-1"}
