Keep runners without an entry only after an outage of the store

Cause: a VM that alone was cut off from the store took its failed calls for an outage of the store. It kept the runners that its next listing lacked for 2.5 s and handed this grace on with its view, and the others kept runners by it although they had read the store all the while.

A grace now begins only if the store served no VM for two seconds, the shortest outage in which an entry expires. The VM that reads for all sees that by its own calls and by the others' reports, whose revisions rise. A VM that has recent content does not take over another one's grace, and the reader's shorter grace ends its own.

Nothing is added to the messages between VMs.

--- a/coordination/gathering/reports.go
+++ b/coordination/gathering/reports.go
@@ -14,6 +14,10 @@
 // reports.
 const reportTimeout = 2 * time.Second
 
+// maxAdvanceAge is the age of a VM's last report up to which a later revision in the next one shows that the store has just
+// served the VM.
+const maxAdvanceAge = time.Second
+
 // Report is one VM's report, with times in the clock of the aggregator.
 type Report struct {
 	// EndpointLoads holds the load that the VM's requests cause on each endpoint, by runner.
@@ -26,6 +30,8 @@
 	Owned map[string]OwnedRunner
 	// PathLost reports that the VM has lost its path to the runners.
 	PathLost bool
+	// SyncedRevision is the store's revision up to which the VM knows the content.
+	SyncedRevision fleet.Revision
 }
 
 // RunnerUnit is a unit on a runner.
@@ -84,6 +90,13 @@
 	}
 }
 
+// ServedByStore reports whether a report that arrives now shows that the store has served its VM since the last one.
+func (r *Reports) ServedByStore(now time.Time, vm string, report Report) bool {
+	last, ok := r.latest[vm]
+	return ok && now.Sub(last.receivedAt) <= maxAdvanceAge && last.report.SyncedRevision < report.SyncedRevision &&
+		last.report.SyncedRevision.Era() == report.SyncedRevision.Era()
+}
+
 // ReceivedAt returns when the latest report of a VM arrived, or zero if none has arrived of late.
 func (r *Reports) ReceivedAt(vm string) time.Time { return r.latest[vm].receivedAt }
 
--- a/state/fleet/directory.go
+++ b/state/fleet/directory.go
@@ -174,6 +174,15 @@
 	return removed
 }
 
+// LimitAbsence lets no missing runner stay listed beyond a time.
+func (d *Directory) LimitAbsence(until time.Time) {
+	for id, previous := range d.missingUntil {
+		if until.Before(previous) {
+			d.missingUntil[id] = until
+		}
+	}
+}
+
 // Expire removes the missing runners whose grace time has passed and returns their identifiers in order.
 func (d *Directory) Expire(now time.Time) []string {
 	var removed []string
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -135,7 +135,7 @@
 	report := gathering.Report{
 		EndpointLoads: received.EndpointLoads, Demand: received.Demand,
 		AdapterUsedAt: make(map[gathering.RunnerUnit]time.Time), Owned: make(map[string]gathering.OwnedRunner),
-		PathLost: received.PathLost,
+		PathLost: received.PathLost, SyncedRevision: received.SyncedRevision,
 	}
 	ownedByVM := make(map[string]bool)
 	for _, use := range received.AdapterUses {
@@ -150,12 +150,15 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.reports.ServedByStore(now, received.VM, report) {
+		g.entryGrace.RecordAnswer(now)
+	}
 	g.reports.Put(now, received.VM, report)
 	s := &vm.Summary{
 		EndpointLoads: g.reports.EndpointLoads(now, received.VM),
 		Moves:         make(map[string]orders.Move),
 		Aggregator:    g.incarnation,
-		Grace:         max(0, g.graceUntil.Sub(now)),
+		Grace:         g.entryGrace.Remaining(now),
 	}
 	g.exchangeCrashes(now, received, s)
 	g.exchangeLimits(now, received, s)
--- a/transport/gateway/era.go
+++ b/transport/gateway/era.go
@@ -20,14 +20,15 @@
 // process that starts in a later era cannot know when that began.
 const settledEraKey = "era"
 
-// beginEra reports whether a revision belongs to a later era than the known content: the store has returned from an
+// beginEra begins a new era if a revision belongs to a later one than the known content: the store has returned from an
 // older copy. What this VM and the others write is then written again by its owner, as after the loss of a key. The
 // caller must hold the lock.
-func (g *Gateway) beginEra(now time.Time, revision fleet.Revision) bool {
+func (g *Gateway) beginEra(now time.Time, revision fleet.Revision) {
 	known := g.knownRevision
 	if known == 0 || revision.Era() <= known.Era() {
-		return false
+		return
 	}
+	g.entryGrace.RecordReturn(now)
 	g.store.RecordEra(revision.Era())
 	g.owners.BeginEra(now)
 	g.storeLog = relay.NewLog()
@@ -38,7 +39,6 @@
 	g.loadsBlockedUntil = now.Add(pacing.PermitLifetime(g.bounds().LoadWindow.Duration))
 	storeReturns.Add(1)
 	g.log.Emit(eventlog.StoreReturned, known.String(), revision.String(), now.Sub(g.syncedAt).Milliseconds())
-	return true
 }
 
 // authority returns the fencing number that this VM's orders to a runner carry now, or false if it may not order it. It
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -102,8 +102,8 @@
 	// number of changes of owned runners that it had sent by then.
 	aggregatorIncarnation string
 	receivedChanges       uint64
-	// graceUntil is the time until which runners that a listing lacked stay in the directory.
-	graceUntil time.Time
+	// entryGrace says how long runners that a listing lacked stay in the directory.
+	entryGrace *fleet.EntryGrace
 	// runnerEntries holds the runners' entries as last read, without their revisions.
 	runnerEntries map[string]fleet.Runner
 	crashes       crashState
@@ -171,6 +171,7 @@
 		slowPeers:        make(map[string]time.Time),
 		store:            platform.NewStore(s.Store),
 		directory:        fleet.NewDirectory(),
+		entryGrace:       fleet.NewEntryGrace(now),
 		scheduler:        dispatch.NewScheduler(s.Domain),
 		origins:          origins.NewTable(),
 		versions:         origins.NewVersions(),
--- a/transport/gateway/offer.go
+++ b/transport/gateway/offer.go
@@ -6,6 +6,7 @@
 
 	"github.com/zinniaroute/zinniaroute/eventlog"
 	"github.com/zinniaroute/zinniaroute/protocol/vm"
+	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 )
 
@@ -72,7 +73,7 @@
 	if offer.View == nil {
 		return &vm.OfferResponse{Needed: true}
 	}
-	g.applyView(now, now, offer.View, entryReturnGrace)
+	g.applyView(now, now, offer.View, fleet.EntryReturnGrace)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	// The content is as old as the outage, so this VM goes on trying to read the store.
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -35,9 +35,6 @@
 	forwardedViewTimeout = time.Second
 	// maxEntryBytes bounds the values other than the configuration that this VM keeps and forwards.
 	maxEntryBytes = 256 << 10
-	// entryReturnGrace is the time within which runners write their entries again after the entries expired during an
-	// outage of the store.
-	entryReturnGrace = 2500 * time.Millisecond
 )
 
 // followStore keeps the configuration and the directory in line with the store. It reads the store only while the
@@ -87,7 +84,7 @@
 
 // listAndWatch lists the store and watches it until a call fails or another VM forwards its content.
 func (g *Gateway) listAndWatch(ctx context.Context, failures *int) error {
-	revision, err := g.listStore(ctx, *failures > 0)
+	revision, err := g.listStore(ctx)
 	if err != nil {
 		return err
 	}
@@ -99,17 +96,13 @@
 }
 
 // listStore applies the store's whole content and returns the revision after which a watch continues.
-func (g *Gateway) listStore(ctx context.Context, afterOutage bool) (fleet.Revision, error) {
+func (g *Gateway) listStore(ctx context.Context) (fleet.Revision, error) {
 	requestedAt := clock.Now()
 	items, revision, err := g.store.List(ctx, "")
 	if err != nil {
 		return 0, err
 	}
-	grace := time.Duration(0)
-	if afterOutage {
-		grace = entryReturnGrace
-	}
-	return revision, g.applyStoreListing(requestedAt, clock.Now(), items, revision, grace)
+	return revision, g.applyStoreListing(requestedAt, clock.Now(), items, revision)
 }
 
 // applyStoreListing applies the store's whole content at a revision, unless a forwarded view has brought this VM to that
@@ -118,7 +111,6 @@
 	requestedAt, now time.Time,
 	items []platform.Item,
 	revision fleet.Revision,
-	grace time.Duration,
 ) error {
 	g.applying.Lock()
 	defer g.applying.Unlock()
@@ -127,10 +119,8 @@
 		g.mu.Unlock()
 		return platform.ErrHistoryLost
 	}
-	if g.beginEra(now, revision) {
-		grace = entryReturnGrace
-	}
-	g.graceUntil = now.Add(grace)
+	g.beginEra(now, revision)
+	g.entryGrace.RecordAnswer(requestedAt)
 	known := g.knownRevision
 	g.mu.Unlock()
 	if revision < known {
@@ -143,7 +133,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.applyListing(now, present, grace)
+	g.applyListing(now, present)
 	g.storeLog.ApplyListing(present, revision)
 	g.recordSync(requestedAt, revision)
 	g.notifyDirectoryChange()
@@ -151,14 +141,14 @@
 }
 
 // applyListing removes what a complete listing lacks. The caller must hold the lock.
-func (g *Gateway) applyListing(now time.Time, present map[string]bool, grace time.Duration) {
+func (g *Gateway) applyListing(now time.Time, present map[string]bool) {
 	runners := make(map[string]bool)
 	for key := range present {
 		if id, ok := strings.CutPrefix(key, platform.RunnersPrefix); ok {
 			runners[id] = true
 		}
 	}
-	g.forgetRunners(g.directory.ApplyListing(now, runners, grace))
+	g.forgetRunners(g.directory.ApplyListing(now, runners, g.entryGrace.Remaining(now)))
 	g.removeUnlisted(now, present)
 }
 
@@ -204,6 +194,7 @@
 	g.applyChanges(now, events)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.entryGrace.RecordAnswer(requestedAt)
 	g.recordSync(requestedAt, revision)
 	g.forgetRunners(g.directory.Expire(now))
 	if len(events) > 0 {
@@ -241,8 +232,10 @@
 	// A VM that knows nothing takes also what the store has lost since: others serve by it.
 	ofEarlierEra := g.knownRevision != 0 && v.Revision.Era() < max(g.knownRevision.Era(), g.store.Era())
 	outdated := ofEarlierEra || v.Full && v.Revision < g.knownRevision
-	if !outdated && g.beginEra(now, v.Revision) {
-		grace = max(grace, entryReturnGrace)
+	asOf := askedAt.Add(-v.Age)
+	if !outdated {
+		g.entryGrace.RecordView(now, asOf, grace)
+		g.beginEra(now, v.Revision)
 	}
 	g.mu.Unlock()
 	if outdated {
@@ -260,12 +253,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if v.Full {
-		g.applyListing(now, present, grace)
+		g.applyListing(now, present)
 		g.storeLog.ApplyListing(present, v.Revision)
 	}
+	g.directory.LimitAbsence(now.Add(g.entryGrace.Remaining(now)))
 	g.forgetRunners(g.directory.Expire(now))
 	g.lastViewAt = now
-	g.recordRevision(askedAt.Add(-v.Age), v.Revision)
+	g.recordRevision(asOf, v.Revision)
 	if len(v.Items) > 0 {
 		g.notifyDirectoryChange()
 	}
--- a/transport/gateway/store_test.go
+++ b/transport/gateway/store_test.go
@@ -31,7 +31,7 @@
 		apply func(g *Gateway, now time.Time)
 	}{
 		{"listing", func(g *Gateway, now time.Time) {
-			assert.NilError(t, g.applyStoreListing(now, now, []platform.Item{item("old", 5)}, fleet.NewRevision(0, 11), 0))
+			assert.NilError(t, g.applyStoreListing(now, now, []platform.Item{item("old", 5)}, fleet.NewRevision(0, 11)))
 		}},
 		{"events of a watch", func(g *Gateway, now time.Time) {
 			g.applyEvents(now, now, []platform.Item{item("old", 11)}, fleet.NewRevision(0, 11))
@@ -49,7 +49,7 @@
 			v := &simulatedVM{name: "vm-2"}
 			v.start(now)
 			g := v.gateway
-			assert.NilError(t, g.applyStoreListing(now, now, []platform.Item{item("old", 5)}, fleet.NewRevision(0, 10), 0))
+			assert.NilError(t, g.applyStoreListing(now, now, []platform.Item{item("old", 5)}, fleet.NewRevision(0, 10)))
 			g.applyView(now, now, &relay.View{Revision: fleet.NewRevision(0, 13), Items: []relay.Item{removed, added}}, 0)
 			test.apply(g, now)
 			assert.Assert(t, g.directory.Get("old") == nil)
@@ -71,10 +71,10 @@
 	v := &simulatedVM{name: "vm-1"}
 	v.start(now)
 	g := v.gateway
-	assert.NilError(t, g.applyStoreListing(now, now, []platform.Item{entry}, entry.Revision, 0))
+	assert.NilError(t, g.applyStoreListing(now, now, []platform.Item{entry}, entry.Revision))
 	now = now.Add(5 * time.Second)
 	listed := fleet.NewRevision(0, 6)
-	assert.NilError(t, g.applyStoreListing(now, now, nil, listed, entryReturnGrace))
+	assert.NilError(t, g.applyStoreListing(now, now, nil, listed))
 	now = now.Add(time.Second)
 	entry.Revision = fleet.NewRevision(0, 7)
 	g.applyEvents(now, now, []platform.Item{entry}, entry.Revision)
