Bound what long parts of events take from other callers

Cause: the relay of a stream kept the part of an event that has not ended and searched all of it for its end after each read of 4 KiB.

Only new bytes are searched.

--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -301,7 +301,7 @@
 	if x.resumption {
 		after = x.request.Resumption.After
 	}
-	x.relay = newEventRelay(x.context, after)
+	x.relay = newEventRelay(x.context, x.gateway.eventBudget, after)
 }
 
 func (x *exchange) relayEvents(ctx context.Context) lifecycle.Event {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/zinniaroute/zinniaroute/coordination/gathering"
 	"github.com/zinniaroute/zinniaroute/coordination/ownership"
@@ -136,6 +137,8 @@
 	// requests that are forwarded.
 	lostPeers map[string]bool
 	slowPeers map[string]time.Time
+	// eventBudget limits the memory for parts of events of the streams that this VM relays.
+	eventBudget *semaphore.Weighted
 	// pathDoubted wakes the task that checks the path.
 	pathDoubted chan struct{}
 
@@ -167,6 +170,7 @@
 		runnerClient:     platform.NewRunnerClient(endpointClient),
 		peerClient:       httpcall.NewClient(peerDialTimeout),
 		pathChecked:      make(chan struct{}),
+		eventBudget:      newEventBudget(),
 		pathDoubted:      make(chan struct{}, 1),
 		slowPeers:        make(map[string]time.Time),
 		store:            platform.NewStore(s.Store),
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -17,6 +18,10 @@
 	// maxEventBytes is the largest size of an event of a stream, and of what comes between two events with a new
 	// identifier.
 	maxEventBytes = 1 << 20
+	// unreservedEventBytes is the size up to which a part of an event needs no place, and eventBufferBytes the memory for
+	// larger ones, of all streams together.
+	unreservedEventBytes = 64 << 10
+	eventBufferBytes     = 16 << 20
 	// writeTimeout is the time limit for a write of events to a caller that reads slowly.
 	writeTimeout = 3 * time.Second
 )
@@ -24,6 +29,7 @@
 var (
 	errCallerLeft     = errors.New("the caller closed the connection or reads too slowly")
 	errEventTooLong   = errors.New("the stream has more than 1 MiB without a new event")
+	errEventBudget    = errors.New("too many streams have long parts of events")
 	errTruncatedEvent = errors.New("the stream ended within an event")
 	// errBrokenOff means that a stream without a length or chunks ended before its first event or within an event.
 	errBrokenOff = errors.Wrap(io.ErrUnexpectedEOF, "the connection ended without a whole event")
@@ -44,6 +50,8 @@
 type eventRelay struct {
 	conn   callerConn
 	writer chunkWriter
+	// budget limits the memory for parts of events, of all streams together.
+	budget *semaphore.Weighted
 	// lastEvent is the identifier of the last relayed event. lastID is the last numeric identifier, or -1.
 	lastEvent string
 	lastID    int64
@@ -51,12 +59,14 @@
 	withoutProgress int
 }
 
+func newEventBudget() *semaphore.Weighted { return semaphore.NewWeighted(eventBufferBytes) }
+
 // newEventRelay returns the relay of a stream that begins after an event of it that the caller has, or at its first event if
 // that is "".
-func newEventRelay(c *app.RequestContext, after string) *eventRelay {
+func newEventRelay(c *app.RequestContext, budget *semaphore.Weighted, after string) *eventRelay {
 	writer := resp.NewChunkedBodyWriter(&c.Response, c.GetWriter())
 	c.Response.HijackWriter(writer)
-	r := &eventRelay{conn: c.GetConn(), writer: writer, lastID: -1}
+	r := &eventRelay{conn: c.GetConn(), writer: writer, budget: budget, lastID: -1}
 	if id, err := strconv.ParseInt(after, 10, 64); err == nil {
 		r.lastID = id
 	}
@@ -66,25 +76,24 @@
 // copy relays events until the stream ends. It skips events that an earlier attempt relayed. EndsWithConnection means that
 // the end of the connection is the only end of the stream.
 func (r *eventRelay) copy(body io.Reader, endsWithConnection bool) error {
-	var pending []byte
+	part := partialEvent{budget: r.budget}
+	defer part.release()
 	empty := true
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := body.Read(buffer)
 		r.withoutProgress += n
-		pending = append(pending, buffer[:n]...)
 		empty = empty && n == 0
-		end := bytes.LastIndex(pending, []byte("\n\n"))
-		if end >= 0 {
-			if writeErr := r.write(pending[:end+2]); writeErr != nil {
+		whole, appendErr := part.append(buffer[:n])
+		if len(whole) > 0 {
+			if writeErr := r.write(whole); writeErr != nil {
 				return writeErr
 			}
-			pending = append(pending[:0], pending[end+2:]...)
 		}
 		switch {
-		case errors.Is(err, io.EOF) && endsWithConnection && (empty || len(bytes.TrimSpace(pending)) > 0):
+		case errors.Is(err, io.EOF) && endsWithConnection && (empty || part.begun()):
 			return errBrokenOff
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) > 0:
+		case errors.Is(err, io.EOF) && part.begun():
 			return errTruncatedEvent
 		case errors.Is(err, io.EOF):
 			return nil
@@ -92,10 +101,56 @@
 			return err
 		case r.withoutProgress > maxEventBytes:
 			return errEventTooLong
+		case appendErr != nil:
+			return appendErr
 		}
 	}
 }
 
+// partialEvent is the part of a stream after its last whole event.
+type partialEvent struct {
+	// data begins with the whole events that the last call of append has returned, of which whole is the size.
+	data     []byte
+	whole    int
+	budget   *semaphore.Weighted
+	reserved bool
+}
+
+// append adds bytes and returns the whole events that they complete, which are valid until the next call. It returns an
+// error if the rest is long and there is no memory for it.
+func (p *partialEvent) append(read []byte) ([]byte, error) {
+	if p.whole > 0 {
+		p.data = p.data[:copy(p.data, p.data[p.whole:])]
+		p.whole = 0
+		p.release()
+	}
+	// The end of an event may begin with the last byte before.
+	searched := max(0, len(p.data)-1)
+	p.data = append(p.data, read...)
+	if end := bytes.LastIndex(p.data[searched:], []byte("\n\n")); end >= 0 {
+		p.whole = searched + end + 2
+	}
+	if len(p.data) > unreservedEventBytes && !p.reserved {
+		if !p.budget.TryAcquire(maxEventBytes) {
+			return p.data[:p.whole], errEventBudget
+		}
+		p.reserved = true
+	}
+	return p.data[:p.whole], nil
+}
+
+// begun reports whether more than white space came after the last whole event.
+func (p *partialEvent) begun() bool { return len(bytes.TrimSpace(p.data[p.whole:])) > 0 }
+
+// release gives the memory of a long event back.
+func (p *partialEvent) release() {
+	if p.reserved {
+		p.data = bytes.Clone(p.data)
+		p.budget.Release(maxEventBytes)
+		p.reserved = false
+	}
+}
+
 // write writes whole events to the caller without delay.
 func (r *eventRelay) write(data []byte) error {
 	unsent := make([]byte, 0, len(data))
--- a/transport/gateway/stream_test.go
+++ b/transport/gateway/stream_test.go
@@ -1,12 +1,19 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"io"
+	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/zinniaroute/zinniaroute/transport/group"
 )
 
 // endlessBody repeats a text far beyond the limit of an event and counts what is read.
@@ -50,7 +57,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			body, writer := &endlessBody{text: test.text}, &memoryWriter{}
-			r := &eventRelay{conn: noTimeouts{}, writer: writer, lastID: -1}
+			r := &eventRelay{conn: noTimeouts{}, writer: writer, budget: newEventBudget(), lastID: -1}
 			assert.Check(t, r.copy(body, false) != nil)
 			assert.Check(t, body.read <= 2*maxEventBytes, "%d bytes read", body.read)
 			assert.Check(t, writer.written <= 2*maxEventBytes, "%d bytes relayed", writer.written)
@@ -58,6 +65,74 @@
 	}
 }
 
+// stalledBody sends a part of an event, and stalls until it is released.
+type stalledBody struct {
+	remaining int
+	stalled   *sync.WaitGroup
+	released  chan struct{}
+}
+
+func (b *stalledBody) Read(p []byte) (int, error) {
+	if b.remaining == 0 {
+		b.stalled.Done()
+		<-b.released
+		return 0, io.EOF
+	}
+	n := min(len(p), b.remaining)
+	b.remaining -= n
+	return n, nil
+}
+
+// Faulty runners send most of a large event on each of their streams, and then nothing.
+func TestPartsOfEventsTakeAllMemory(t *testing.T) {
+	const streams, limit = 256, 3 * eventBufferBytes
+	budget := newEventBudget()
+	var ended, stalled sync.WaitGroup
+	released := make(chan struct{})
+	tasks, err := group.New(t.Context())
+	assert.NilError(t, err)
+	var refused atomic.Int64
+	ended.Add(streams)
+	stalled.Add(streams)
+	for range streams {
+		tasks.Run("relay", func(context.Context) {
+			defer ended.Done()
+			body := &stalledBody{remaining: maxEventBytes - 1, stalled: &stalled, released: released}
+			r := &eventRelay{conn: noTimeouts{}, writer: &memoryWriter{}, budget: budget, lastID: -1}
+			if err := r.copy(body, false); errors.Is(err, errEventBudget) {
+				refused.Add(1)
+				stalled.Done()
+			}
+		})
+	}
+	stalled.Wait()
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	close(released)
+	ended.Wait()
+	assert.NilError(t, tasks.Stop())
+	assert.Check(t, memory.HeapInuse < limit, "%d MiB in use", memory.HeapInuse>>20)
+	assert.Check(t, refused.Load() < streams, "no stream may have a large event")
+	assert.Check(t, budget.TryAcquire(eventBufferBytes), "a stream has ended and keeps its part")
+}
+
+// A part of an event that grows is searched for its end again and again.
+func TestLongEventTakesTheProcessor(t *testing.T) {
+	const short, factor = maxEventBytes / 8, 8
+	cost := func(size int) time.Duration {
+		least := time.Hour
+		for range 5 {
+			r := &eventRelay{conn: noTimeouts{}, writer: &memoryWriter{}, budget: newEventBudget(), lastID: -1}
+			startedAt := time.Now()
+			assert.ErrorIs(t, r.copy(strings.NewReader(strings.Repeat("x", size)), false), errTruncatedEvent)
+			least = min(least, time.Since(startedAt))
+		}
+		return least
+	}
+	assert.Check(t, cost(short*factor) < 3*factor*cost(short), "%v and %v", cost(short*factor), cost(short))
+}
+
 func TestStreamThatBreaksOffIsRelayedAsComplete(t *testing.T) {
 	const event = "id: 1\ndata: x\n\n"
 	tests := []struct {
@@ -75,7 +150,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			r := &eventRelay{conn: noTimeouts{}, writer: &memoryWriter{}, lastID: -1}
+			r := &eventRelay{conn: noTimeouts{}, writer: &memoryWriter{}, budget: newEventBudget(), lastID: -1}
 			assert.ErrorIs(t, r.copy(strings.NewReader(test.text), test.endsWithConnection), test.want)
 		})
 	}
