Count requests as in flight until their responses are written

A caller that read its answer slowly lost it when its VM stopped in calm: the process ended 2.5 s after the stop signal, with the answer half written.

Cause: a request counted as in flight until its handler returned. The HTTP library writes plain answers after that, and the process did not wait for it.

The server now counts a request from the time when it has been read until the library reports its end, which it does after the write or when the connection has failed. The gateway and the entry wait for these counts.

--- a/integration/gateway_stop_test.go
+++ b/integration/gateway_stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"syscall"
 	"testing"
@@ -40,3 +42,31 @@
 	took := time.Since(stoppedAt)
 	assert.Check(t, took < 2*time.Second, "they were answered after %v", took)
 }
+
+// A caller reads its answer slowly, and the VM counts the request as ended once the handler has written it.
+func TestGatewayThatStopsCutsAnswersThatAreReadSlowly(t *testing.T) {
+	t.Parallel()
+	const size = 7 << 20
+	d := newDeployment(t)
+	d.addRunnerWith(modelrunner.Options{ID: "p1", Service: plainService, Domain: "a", AnswerBytes: size})
+	node := d.addGateway("vm-1")
+	waitUntil(t, "vm-1 serves", func() bool { return d.send("vm-1", unsafePath, "").status == http.StatusOK })
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err == nil {
+			// Otherwise the buffers of the sockets hold the whole answer.
+			err = conn.(*net.TCPConn).SetReadBuffer(256 << 10)
+		}
+		return conn, err
+	}
+	client := &http.Client{Transport: &http.Transport{DialContext: dial}}
+	response, err := client.Do(newRequest(t.Context(), node, unsafePath, "", []byte("{}")))
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	d.processes["vm-1"].signal(syscall.SIGTERM)
+	group.Sleep(t.Context(), 4*time.Second)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), size)
+	assert.NilError(t, d.processes["vm-1"].command.Wait())
+}
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -62,6 +62,8 @@
 	// endpoint needs for an answer.
 	StreamEvents int
 	Pause        time.Duration
+	// AnswerBytes is the size of a plain endpoint's answer, or zero for a short one.
+	AnswerBytes int
 	// Identify returns the name of the VM that has opened a connection from an address. It is nil if VMs have no names.
 	Identify func(address netip.AddrPort) string
 }
@@ -390,7 +392,8 @@
 	}
 	if string(c.GetHeader(headerModel)) == "" {
 		group.Sleep(ctx, r.options.Pause)
-		c.String(statusOK, "answer of "+r.options.ID)
+		answer := "answer of " + r.options.ID
+		c.String(statusOK, answer+strings.Repeat(".", max(0, r.options.AnswerBytes-len(answer))))
 		return
 	}
 	c.SetContentType("text/event-stream")
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -58,11 +58,13 @@
 	controlAddress atomic.Pointer[netip.AddrPort]
 	controlLost    atomic.Bool
 	inFlight       atomic.Int64
-	stopping       atomic.Bool
-	rejecting      atomic.Bool
-	startedAt      time.Time
-	stopOnce       sync.Once
-	stopRequested  chan struct{}
+	// callers serves callers. Start sets it.
+	callers       *httpserve.Server
+	stopping      atomic.Bool
+	rejecting     atomic.Bool
+	startedAt     time.Time
+	stopOnce      sync.Once
+	stopRequested chan struct{}
 }
 
 // New returns an entry that has not started.
@@ -117,6 +119,7 @@
 	})
 	server.NoRoute(e.handle(e.noRoute))
 	server.NoMethod(e.handle(e.noRoute))
+	e.callers = server
 	server.Start(g, "callers")
 }
 
@@ -186,10 +189,10 @@
 	e.rejecting.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, e.settings.DrainLimit.Duration)
 	defer cancel()
-	for ctx.Err() == nil && e.inFlight.Load() > 0 {
+	for ctx.Err() == nil && e.callers.InFlight() > 0 {
 		group.Sleep(ctx, drainPollInterval)
 	}
-	return e.inFlight.Load()
+	return e.callers.InFlight()
 }
 
 // dump is the entry's state as shown to operators.
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -40,13 +40,23 @@
 	g.serveAll(tasks, listener, "callers", g.serveRequest)
 }
 
-// serveAll serves the requests to a listener, whatever their method and path, with one handler.
+// inFlight returns the number of requests of callers and of other VMs that have no whole answer yet.
+func (g *Gateway) inFlight() int64 {
+	requests := int64(0)
+	for _, server := range g.servers {
+		requests += server.InFlight()
+	}
+	return requests
+}
+
+// serveAll serves the requests to a listener, whatever their method and path, with one handler. They count as in flight.
 func (g *Gateway) serveAll(tasks *group.Group, listener net.Listener, name string, handler app.HandlerFunc) {
 	bounds := httpserve.Bounds{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, ReadTimeout: readTimeout}
 	server := httpserve.NewServer(listener, bounds, false)
 	server.Panicked = func(cause error, stack []byte) { g.log.Emit(eventlog.HandlerPanicked, cause, string(stack)) }
 	server.NoRoute(handler)
 	server.NoMethod(handler)
+	g.servers = append(g.servers, server)
 	server.Start(tasks, name)
 }
 
@@ -64,8 +74,6 @@
 
 // serveRequest serves a caller's request.
 func (g *Gateway) serveRequest(ctx context.Context, c *app.RequestContext) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Add(-1)
 	now := clock.Now()
 	if g.stopping.Load() {
 		c.SetConnectionClose()
--- a/transport/gateway/forwarded.go
+++ b/transport/gateway/forwarded.go
@@ -20,8 +20,6 @@
 
 // serveForwarded serves a request that another VM forwards for its caller. It sends the request to an endpoint or not at all.
 func (g *Gateway) serveForwarded(ctx context.Context, c *app.RequestContext) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Add(-1)
 	forward, err := vm.TakeForward(&c.Request.Header)
 	request, timeout := platform.ReadRequest(&c.Request, forward.Caller)
 	request.ArrivedAt = clock.Now()
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/zinniaroute/zinniaroute/transport/clock"
 	"github.com/zinniaroute/zinniaroute/transport/group"
 	"github.com/zinniaroute/zinniaroute/transport/httpcall"
+	"github.com/zinniaroute/zinniaroute/transport/httpserve"
 )
 
 const (
@@ -151,7 +152,8 @@
 	readingVersions chan struct{}
 	versionEvidence evidence
 
-	inFlight atomic.Int64
+	// servers serve callers and the VMs that forward requests. Start sets it.
+	servers  []*httpserve.Server
 	stopping atomic.Bool
 	// refusing reports that the platform has taken the VM out of rotation, so that new requests are refused.
 	refusing      atomic.Bool
@@ -221,11 +223,11 @@
 // Start runs the gateway's servers, on open listeners, and its background tasks in the group.
 func (g *Gateway) Start(tasks *group.Group, callers, readiness, peers, ops, forwards net.Listener) {
 	g.tasks = tasks
-	g.serveOperations(tasks, ops)
 	g.serveCallers(tasks, callers)
 	g.serveReadiness(tasks, readiness)
 	g.peerHandlers().Start(tasks, peers)
 	g.serveForwards(tasks, forwards)
+	g.serveOperations(tasks, ops)
 	tasks.Start("follow store", g.followStore)
 	tasks.Start("register", g.keepRegistered)
 	tasks.Start("claim runners", g.claimRunners)
@@ -244,11 +246,11 @@
 	g.log.Emit(eventlog.ProcessStopping, "gateway")
 	ctx, cancel := context.WithTimeout(ctx, settings.ShutdownTimeout(g.bounds()))
 	defer cancel()
-	for ctx.Err() == nil && (g.inFlight.Load() > 0 || !g.refusing.Load()) {
+	for ctx.Err() == nil && (g.inFlight() > 0 || !g.refusing.Load()) {
 		group.Sleep(ctx, drainPollInterval)
 		g.refusing.Store(clock.Now().Sub(startedAt) >= rotationRemovalTime)
 	}
-	return g.inFlight.Load()
+	return g.inFlight()
 }
 
 // RequestStop requests a graceful shutdown. Further calls have no effect.
--- a/transport/gateway/operations.go
+++ b/transport/gateway/operations.go
@@ -93,7 +93,7 @@
 	defer g.mu.Unlock()
 	d := Dump{
 		VM: g.settings.Name, Domain: g.settings.Domain, StartedAt: g.startedAt, Stopping: g.stopping.Load(),
-		InFlight: g.inFlight.Load(), StoreRevision: g.knownRevision, StoreSyncedAt: g.syncedAt, Aggregator: aggregator,
+		InFlight: g.inFlight(), StoreRevision: g.knownRevision, StoreSyncedAt: g.syncedAt, Aggregator: aggregator,
 		Members: g.owners.Members(), RemainingRetries: make(map[string]int), Limits: make(map[string]string), Scheduler: g.scheduler.Snapshot(now),
 		Suspicions: g.crashes.tracker.All(now), QuarantinedParts: g.crashes.parts.Quarantined(),
 	}
--- a/transport/httpserve/server.go
+++ b/transport/httpserve/server.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/common/tracer/stats"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/pkg/errors"
@@ -44,6 +45,7 @@
 type Server struct {
 	*server.Hertz
 	listener net.Listener
+	requests *requestCounter
 	// Panicked, if set, is told of handlers that panicked. It must be set before Start.
 	Panicked func(cause error, stack []byte)
 }
@@ -73,7 +75,10 @@
 // NewServer returns a server on an open listener. With streaming, handlers read the request body themselves, as it
 // arrives.
 func NewServer(listener net.Listener, bounds Bounds, streaming bool) *Server {
+	requests := &requestCounter{}
 	hertz := server.New(
+		server.WithTracer(requests),
+		server.WithTraceLevel(stats.LevelDisabled),
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithSenseClientDisconnection(true),
@@ -92,8 +97,8 @@
 		server.WithDisableDefaultContentType(true),
 		server.WithRedirectTrailingSlash(false),
 	)
-	s := &Server{Hertz: hertz, listener: listener}
-	hertz.Use(recovery.Recovery(recovery.WithRecoveryHandler(s.recover)), rejectAmbiguous)
+	s := &Server{Hertz: hertz, listener: listener, requests: requests}
+	hertz.Use(requests.begin, recovery.Recovery(recovery.WithRecoveryHandler(s.recover)), rejectAmbiguous)
 	return s
 }
 
