Refuse requests that still wait when a stopping VM is out of rotation

Cause: of all waits for an endpoint only that for a model that no runner holds looked at the stop. Those for a place at a brittle runner, for a permit and for the prefill of others went on.

From 2.5 s after the stop signal, when the platform has taken the VM out of rotation, a request that was not sent yet is refused with the time to come back. It promises that the request has not run, and another VM can take it.

Evidence: TestGatewayThatStopsPassesOnRequestsThatWait gets 504 for four of four waiting bookings before and 503 within 3.5 s with the change. TestPlannedStopCutsRequestsThatComeLate finds no request of 360 that has run and was cut or refused.

--- a/transport/gateway/endpoint.go
+++ b/transport/gateway/endpoint.go
@@ -50,6 +50,10 @@
 		}
 		o := g.options(now, x, software, excluded)
 		choice, ok := o.choice, o.ok
+		if g.refusing.Load() && !x.machine.MayHaveRun() {
+			// It may run longer than this process, and another VM can take it.
+			return choice, g.refuseStopping(x, o)
+		}
 		decision := admission.Decision{Admitted: true}
 		if ok && !x.machine.MayHaveRun() {
 			decision = admission.Decide(now, &x.request, choice.Prediction())
