Let calls to the store go on while bytes of the answer arrive

A VM with a link of 10 Mbit/s could not read the store itself once the configuration had about 4,200 routes: the listing takes more than the second after which the call was given up, and the next try began anew. The VM served by its last configuration until another VM forwarded the store's content again, 3 s later or, as its link was full of listings, later still.

Cause: one limit for the whole call. A silent store and a slow link were the same to it.

A store that does not answer is still given up after a second.

--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -80,6 +80,8 @@
 	Fresh bool
 	// MaxBody bounds the bytes of a chunked response body that are buffered at once. Zero means no bound.
 	MaxBody int
+	// ReadTimeout bounds the time without any byte of the response. Zero means no bound.
+	ReadTimeout time.Duration
 	// Accept reports whether a response belongs to this request. Others are read and dropped. Nil accepts all.
 	Accept func(header *protocol.ResponseHeader) bool
 }
@@ -116,6 +118,10 @@
 		c.putIdle(address, conn, maxIdleTimeout)
 		return nil, &Error{Stage: StageDial, Cause: err}
 	}
+	if err := conn.SetReadTimeout(options.ReadTimeout); err != nil {
+		closeConn(conn)
+		return nil, &Error{Stage: StageDial, Cause: err}
+	}
 	stopCancel := context.AfterFunc(ctx, func() { resetConn(conn) })
 	exchange := &Exchange{
 		Response:   &protocol.Response{},
