Watch the store from the known revision instead of listing it again

When the VM that reads the store for all was lost, or a call to it failed, each VM listed the whole store, with the configuration: more than a second of the link of a small VM at 4,200 routes, in which calls between VMs time out too. The change that it waited for came after that.

Cause: a VM that began to read the store itself always listed it, though it knew the content up to the revision of the last view.

It now watches from that revision and gets what has changed since. It lists the store if it knows nothing, or if the store has dropped its history or returned from an older copy. Entries whose removal the watch tells within the grace after an outage stay for that time, as those that a listing lacks.

--- a/integration/gateway_config_test.go
+++ b/integration/gateway_config_test.go
@@ -45,3 +45,44 @@
 		})
 	}
 }
+
+// The gateway that reads the store for all others ends. The others know the content up to a revision, so they need only what
+// has changed since: a listing takes the links of small VMs for a second and more.
+func TestGatewaysListTheStoreAgainWhenItsReaderEnds(t *testing.T) {
+	t.Parallel()
+	const listing = "/zinniaroute/kv-range"
+	d := newDeployment(t)
+	d.addRunner("p1", plainService)
+	others := []string{"vm-2", "vm-3", "vm-4"}
+	d.addGateway("vm-1")
+	for _, vm := range others {
+		d.addGateway(vm)
+	}
+	for _, vm := range others {
+		waitUntil(t, vm+" serves", func() bool { return d.send(vm, safePath, "").status == 200 })
+	}
+	calls := func(vm string) int {
+		var vars struct {
+			Calls map[string]int `json:"storeCalls"`
+		}
+		assert.NilError(t, getJSON(d.gateways[vm].operations, "/debug/vars", &vars))
+		return vars.Calls[listing]
+	}
+	// The others end their own reading once views arrive.
+	time.Sleep(2 * time.Second)
+	before := make(map[string]int)
+	for _, vm := range others {
+		before[vm] = calls(vm)
+	}
+	d.processes["vm-1"].kill()
+	d.configure(2, 10_000, plainRoute("added"))
+	changedAt := time.Now()
+	for _, vm := range others {
+		waitUntil(t, vm+" serves the new route", func() bool { return d.send(vm, "/added/one", "").status == 200 })
+		assert.Check(t, time.Since(changedAt) < applyTimeout, "%s: %v", vm, time.Since(changedAt))
+	}
+	time.Sleep(2 * time.Second)
+	for _, vm := range others {
+		assert.Check(t, calls(vm) == before[vm], "%s has listed the store %d times", vm, calls(vm)-before[vm])
+	}
+}
--- a/state/fleet/directory.go
+++ b/state/fleet/directory.go
@@ -153,6 +153,14 @@
 	return ChangeRemoved
 }
 
+// SetMissing keeps a runner whose entry was removed until a time at the latest, since the entry may have expired during an
+// outage of the store.
+func (d *Directory) SetMissing(id string, until time.Time) {
+	if _, missing := d.missingUntil[id]; !missing && d.runners[id] != nil {
+		d.missingUntil[id] = until
+	}
+}
+
 // ApplyListing applies the identifiers of a complete listing and returns the runners that it removed. A positive grace
 // keeps missing runners for that time, since their entries may have expired during an outage of the store.
 func (d *Directory) ApplyListing(now time.Time, present map[string]bool, grace time.Duration) []string {
@@ -163,9 +171,7 @@
 			continue
 		}
 		if grace > 0 {
-			if _, missing := d.missingUntil[id]; !missing {
-				d.missingUntil[id] = now.Add(grace)
-			}
+			d.SetMissing(id, now.Add(grace))
 			continue
 		}
 		d.Remove(id)
--- a/transport/gateway/grace_property_test.go
+++ b/transport/gateway/grace_property_test.go
@@ -38,8 +38,8 @@
 	callTime     time.Duration
 	backoffUntil map[string]time.Time
 	failures     int
-	// watchedFrom is the revision from which the VM watches the store, or zero if it must list it.
-	watchedFrom uint64
+	// mustList means that the store has dropped its history when the VM reads it again.
+	mustList bool
 }
 
 func (v *graceVM) inTouch(now time.Time) bool {
@@ -70,7 +70,7 @@
 	}
 	for i := range runners {
 		id := fmt.Sprint("r", i)
-		f.alive[id] = maxEntryReturn * time.Duration(i) / time.Duration(runners)
+		f.alive[id] = maxEntryReturn * time.Duration(i) / time.Duration(runners-1)
 		f.write(id, f.now.Add(-time.Duration(i)*entryInterval/time.Duration(runners)))
 	}
 	for i := range vms {
@@ -133,11 +133,9 @@
 	}
 	for _, v := range f.vms {
 		aggregator := f.exchange(v)
-		if aggregator != v && v.gateway.hasRecentView(f.now) {
-			v.watchedFrom = 0
-			continue
+		if aggregator == v || !v.gateway.hasRecentView(f.now) {
+			f.read(v)
 		}
-		f.read(v)
 	}
 }
 
@@ -165,7 +163,6 @@
 func (f *graceFleet) read(v *graceVM) {
 	g := v.gateway
 	if !f.storeUp() || f.now.Before(v.storeCutUntil.Add(v.callTime)) {
-		v.watchedFrom = 0
 		if v.failures++; v.failures >= failuresBeforeSuspend {
 			g.storeLog.Suspend()
 		}
@@ -173,18 +170,20 @@
 	}
 	v.failures = 0
 	revision := fleet.NewRevision(0, f.revision)
-	if v.watchedFrom > 0 {
+	if g.knownRevision > 0 && !v.mustList {
 		var events []platform.Item
 		for _, item := range f.history {
-			if item.Revision.Number() > v.watchedFrom {
+			if item.Revision > g.knownRevision {
 				events = append(events, item)
 			}
 		}
 		g.applyEvents(f.now, f.now, events, revision)
-	} else if err := g.applyStoreListing(f.now, f.now, f.items(), revision); err != nil {
+		return
+	}
+	if err := g.applyStoreListing(f.now, f.now, f.items(), revision); err != nil {
 		panic(err)
 	}
-	v.watchedFrom = f.revision
+	v.mustList = false
 }
 
 func (f *graceFleet) items() []platform.Item {
@@ -228,6 +227,7 @@
 		}
 		for left := range runners / 2 {
 			v := f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(t, "vm")]
+			v.mustList = rapid.Bool().Draw(t, "mustList")
 			v.callTime = time.Duration(rapid.IntRange(0, 700).Draw(t, "callTime")) * time.Millisecond
 			end := f.now.Add(time.Duration(rapid.IntRange(250, 9000).Draw(t, "length")) * time.Millisecond)
 			switch disruption := rapid.IntRange(0, 5).Draw(t, "disruption"); {
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -40,25 +40,34 @@
 // followStore keeps the configuration and the directory in line with the store. It reads the store only while the
 // aggregator forwards no views.
 func (g *Gateway) followStore(ctx context.Context) error {
-	failures := 0
+	var r storeReader
 	for ctx.Err() == nil {
 		if g.hasRecentView(clock.Now()) {
 			group.Sleep(ctx, storeReadCheckInterval)
 			continue
 		}
-		err := g.listAndWatch(ctx, &failures)
+		err := g.readStore(ctx, &r)
 		if ctx.Err() != nil || err == nil {
 			continue
 		}
-		if !errors.Is(err, platform.ErrHistoryLost) {
-			failures++
-			g.recordStoreFailure(err, failures)
+		r.mustList = errors.Is(err, platform.ErrHistoryLost)
+		if !r.mustList {
+			r.failures++
+			g.recordStoreFailure(err, r.failures)
 		}
 		group.Sleep(ctx, storeRetryInterval)
 	}
 	return nil
 }
 
+// storeReader is the state of the reading of the store.
+type storeReader struct {
+	// failures counts the failed calls since the last answer.
+	failures int
+	// mustList means that the store no longer has the changes after the known revision.
+	mustList bool
+}
+
 // recordStoreFailure logs the first of several consecutive failures, and stops the forwarding to other VMs after
 // failuresBeforeSuspend of them.
 func (g *Gateway) recordStoreFailure(err error, failures int) {
@@ -82,17 +91,28 @@
 	return now.Sub(g.lastViewAt) < forwardedViewTimeout
 }
 
-// listAndWatch lists the store and watches it until a call fails or another VM forwards its content.
-func (g *Gateway) listAndWatch(ctx context.Context, failures *int) error {
-	revision, err := g.listStore(ctx)
-	if err != nil {
-		return err
+// readStore watches the store from the known revision until a call fails or another VM forwards its content. It lists the
+// store first if this VM knows nothing of it, or if the store no longer has the changes after what it knows.
+func (g *Gateway) readStore(ctx context.Context, r *storeReader) error {
+	g.mu.Lock()
+	revision := g.knownRevision
+	g.mu.Unlock()
+	if revision == 0 || r.mustList {
+		var err error
+		if revision, err = g.listStore(ctx); err != nil {
+			return err
+		}
+		g.recordStoreAnswer(r, revision)
 	}
-	if *failures > 0 {
+	return g.watchStore(ctx, r, revision)
+}
+
+// recordStoreAnswer logs the first answer after failures.
+func (g *Gateway) recordStoreAnswer(r *storeReader, revision fleet.Revision) {
+	if r.failures > 0 {
 		g.log.Emit(eventlog.StoreReachable, revision)
-		*failures = 0
 	}
-	return g.watchStore(ctx, revision)
+	*r = storeReader{}
 }
 
 // listStore applies the store's whole content and returns the revision after which a watch continues.
@@ -171,7 +191,7 @@
 }
 
 // watchStore applies changes until a call fails or another VM forwards them.
-func (g *Gateway) watchStore(ctx context.Context, revision fleet.Revision) error {
+func (g *Gateway) watchStore(ctx context.Context, r *storeReader, revision fleet.Revision) error {
 	for !g.hasRecentView(clock.Now()) {
 		requestedAt := clock.Now()
 		events, next, err := g.store.Watch(ctx, "", revision, watchTimeout)
@@ -179,6 +199,7 @@
 			return err
 		}
 		revision = max(revision, next)
+		g.recordStoreAnswer(r, revision)
 		g.applyEvents(requestedAt, clock.Now(), events, revision)
 		if !group.Sleep(ctx, watchInterval) {
 			return ctx.Err()
@@ -191,10 +212,12 @@
 func (g *Gateway) applyEvents(requestedAt, now time.Time, events []platform.Item, revision fleet.Revision) {
 	g.applying.Lock()
 	defer g.applying.Unlock()
+	g.mu.Lock()
+	g.entryGrace.RecordAnswer(requestedAt)
+	g.mu.Unlock()
 	g.applyChanges(now, events)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.entryGrace.RecordAnswer(requestedAt)
 	g.recordSync(requestedAt, revision)
 	g.forgetRunners(g.directory.Expire(now))
 	if len(events) > 0 {
@@ -380,6 +403,10 @@
 	defer g.mu.Unlock()
 	if item.Deleted {
 		delete(g.runnerEntries, id)
+		if grace := g.entryGrace.Remaining(now); grace > 0 {
+			g.directory.SetMissing(id, now.Add(grace))
+			return true
+		}
 		if change := g.directory.Remove(id); change != fleet.ChangeNone {
 			g.scheduler.Remove(id)
 			g.log.Emit(eventlog.RunnerEntryChanged, id, string(change), "", "", item.Revision)
