Let one VM serve the reports of hundreds

VMs got configurations up to 4.7 s late.

Cause: the work for one report grew with the number of VMs, since the states of runners, the uses of adapters and the lost paths were merged anew for each, and all VMs reported four times a second.

The reports are merged once each 0.1 s, and states of runners are kept by runner. With more than 100 VMs the interval of the reports grows in steps, so that there are at most 450 a second; the times that depend on it grow with it.

--- a/coordination/gathering/reports.go
+++ b/coordination/gathering/reports.go
@@ -16,7 +16,7 @@
 
 // maxAdvanceAge is the age of a VM's last report up to which a later revision in the next one shows that the store has just
 // served the VM.
-const maxAdvanceAge = time.Second
+const maxAdvanceAge = 1500 * time.Millisecond
 
 // Report is one VM's report, with times in the clock of the aggregator.
 type Report struct {
@@ -55,38 +55,59 @@
 	receivedAt time.Time
 }
 
+// ownedState is the latest state of a runner that a VM has reported.
+type ownedState struct {
+	state OwnedRunner
+	// vm has reported the state, and receivedAt is when its latest report arrived.
+	vm         string
+	receivedAt time.Time
+	// change is the number of the last change of the state.
+	change uint64
+}
+
+// merged is what all VMs' reports add up to.
+type merged struct {
+	loads     map[string]dispatch.EndpointLoad
+	lostPaths []string
+	// uses holds the latest use of each unit with an adapter, by runner.
+	uses map[string]map[fleet.Unit]time.Time
+}
+
 // Reports holds the latest report of each VM.
 type Reports struct {
 	latest map[string]received
-	// changes counts the changes of owned runners. changeNumbers holds its value at the last change of each runner.
-	changes       uint64
-	changeNumbers map[string]uint64
-	owned         map[string]OwnedRunner
-	// sums holds the sums of all VMs' endpoint loads, by runner, computed at summedAt.
-	sums     map[string]dispatch.EndpointLoad
-	summedAt time.Time
+	// changes counts the changes of owned runners.
+	changes uint64
+	owned   map[string]ownedState
+	// merged is computed from all reports at mergedAt.
+	merged   *merged
+	mergedAt time.Time
 }
 
 // NewReports returns an empty set of reports.
 func NewReports() *Reports {
-	return &Reports{
-		latest: make(map[string]received), changeNumbers: make(map[string]uint64), owned: make(map[string]OwnedRunner),
-	}
+	return &Reports{latest: make(map[string]received), owned: make(map[string]ownedState)}
 }
 
 // Put replaces a VM's report. For a runner that several VMs report, it keeps the state with the latest AsOf.
 func (r *Reports) Put(now time.Time, vm string, report Report) {
+	for runner := range r.latest[vm].report.Owned {
+		if _, reported := report.Owned[runner]; !reported && r.owned[runner].vm == vm {
+			delete(r.owned, runner)
+		}
+	}
 	r.latest[vm] = received{report: report, receivedAt: now}
 	for runner, owned := range report.Owned {
 		before, known := r.owned[runner]
-		if known && before.AsOf.After(owned.AsOf) {
+		if known && before.state.AsOf.After(owned.AsOf) {
 			continue
 		}
-		r.owned[runner] = owned
-		if !known || !before.sameState(owned) {
+		change := before.change
+		if !known || !before.state.sameState(owned) {
 			r.changes++
-			r.changeNumbers[runner] = r.changes
+			change = r.changes
 		}
+		r.owned[runner] = ownedState{state: owned, vm: vm, receivedAt: now, change: change}
 	}
 }
 
@@ -104,25 +125,27 @@
 	return o.Incarnation == other.Incarnation && o.Moving == other.Moving && reflect.DeepEqual(o.Holdings, other.Holdings)
 }
 
-// OwnedChangedSince returns the runners that changed after the change number since, and the latest number. It also
-// removes runners that no VM reports any more.
+// OwnedChangedSince returns the runners that changed after the change number since, and the latest number.
 func (r *Reports) OwnedChangedSince(now time.Time, since uint64) (map[string]OwnedRunner, uint64) {
+	r.forgetOwned(now)
 	changed := make(map[string]OwnedRunner)
-	owned := r.Owned(now)
-	for runner, change := range r.changeNumbers {
-		state, ok := owned[runner]
-		if !ok {
-			delete(r.changeNumbers, runner)
-			delete(r.owned, runner)
-			continue
-		}
-		if change > since {
-			changed[runner] = state
+	for runner, owned := range r.owned {
+		if owned.change > since {
+			changed[runner] = owned.state
 		}
 	}
 	return changed, r.changes
 }
 
+// forgetOwned removes the runners that no VM reports any more.
+func (r *Reports) forgetOwned(now time.Time) {
+	for runner, owned := range r.owned {
+		if now.Sub(owned.receivedAt) > reportTimeout {
+			delete(r.owned, runner)
+		}
+	}
+}
+
 func (r *Reports) eachLive(now time.Time, use func(vm string, report *Report)) {
 	for vm, e := range r.latest {
 		if now.Sub(e.receivedAt) > reportTimeout {
@@ -133,24 +156,46 @@
 	}
 }
 
-// loadSumInterval is how long the sums of endpoint loads are reused before they are computed again.
-const loadSumInterval = 100 * time.Millisecond
+// mergeInterval is how long what the reports add up to is reused. Hundreds of VMs ask within it.
+const mergeInterval = 100 * time.Millisecond
+
+// merge returns what all reports add up to.
+func (r *Reports) merge(now time.Time) *merged {
+	if r.merged != nil && now.Sub(r.mergedAt) < mergeInterval {
+		return r.merged
+	}
+	m := &merged{loads: make(map[string]dispatch.EndpointLoad), uses: make(map[string]map[fleet.Unit]time.Time)}
+	r.eachLive(now, func(vm string, report *Report) {
+		for runner, load := range report.EndpointLoads {
+			sum := m.loads[runner]
+			sum.Add(load)
+			m.loads[runner] = sum
+		}
+		if report.PathLost {
+			m.lostPaths = append(m.lostPaths, vm)
+		}
+		for used, usedAt := range report.AdapterUsedAt {
+			units := m.uses[used.Runner]
+			if units == nil {
+				units = make(map[fleet.Unit]time.Time)
+				m.uses[used.Runner] = units
+			}
+			if usedAt.After(units[used.Unit]) {
+				units[used.Unit] = usedAt
+			}
+		}
+	})
+	slices.Sort(m.lostPaths)
+	r.merged, r.mergedAt = m, now
+	return m
+}
 
 // EndpointLoads returns, by runner, the sums of the endpoint loads of all VMs but one.
 func (r *Reports) EndpointLoads(now time.Time, except string) map[string]dispatch.EndpointLoad {
-	if r.sums == nil || now.Sub(r.summedAt) >= loadSumInterval {
-		r.sums, r.summedAt = make(map[string]dispatch.EndpointLoad), now
-		r.eachLive(now, func(_ string, report *Report) {
-			for runner, load := range report.EndpointLoads {
-				sum := r.sums[runner]
-				sum.Add(load)
-				r.sums[runner] = sum
-			}
-		})
-	}
-	others := make(map[string]dispatch.EndpointLoad, len(r.sums))
+	sums := r.merge(now).loads
+	others := make(map[string]dispatch.EndpointLoad, len(sums))
 	own := r.latest[except].report.EndpointLoads
-	for runner, sum := range r.sums {
+	for runner, sum := range sums {
 		sum.Subtract(own[runner])
 		if sum != (dispatch.EndpointLoad{}) {
 			others[runner] = sum
@@ -172,43 +217,18 @@
 
 // Owned returns the reported state of each runner. Where VMs report the same runner, the latest AsOf wins.
 func (r *Reports) Owned(now time.Time) map[string]OwnedRunner {
-	all := make(map[string]OwnedRunner)
-	r.eachLive(now, func(_ string, report *Report) {
-		for runner, owned := range report.Owned {
-			if known, ok := all[runner]; !ok || owned.AsOf.After(known.AsOf) {
-				all[runner] = owned
-			}
-		}
-	})
+	r.forgetOwned(now)
+	all := make(map[string]OwnedRunner, len(r.owned))
+	for runner, owned := range r.owned {
+		all[runner] = owned.state
+	}
 	return all
 }
 
-// LostPaths returns the VMs that have lost their path to the runners, in order.
-func (r *Reports) LostPaths(now time.Time) []string {
-	var vms []string
-	r.eachLive(now, func(vm string, report *Report) {
-		if report.PathLost {
-			vms = append(vms, vm)
-		}
-	})
-	slices.Sort(vms)
-	return vms
-}
+// LostPaths returns the VMs that have lost their path to the runners, in order. The caller must not change the result.
+func (r *Reports) LostPaths(now time.Time) []string { return r.merge(now).lostPaths }
 
-// AdapterUsedAt returns when any VM but one last used each unit with an adapter, on the runners that owned selects.
-func (r *Reports) AdapterUsedAt(
-	now time.Time, except string, owned func(runner string) bool,
-) map[RunnerUnit]time.Time {
-	latest := make(map[RunnerUnit]time.Time)
-	r.eachLive(now, func(vm string, report *Report) {
-		if vm == except {
-			return
-		}
-		for unit, usedAt := range report.AdapterUsedAt {
-			if owned(unit.Runner) && usedAt.After(latest[unit]) {
-				latest[unit] = usedAt
-			}
-		}
-	})
-	return latest
+// AdapterUses returns when any VM last used each unit with an adapter on a runner. The caller must not change the result.
+func (r *Reports) AdapterUses(now time.Time, runner string) map[fleet.Unit]time.Time {
+	return r.merge(now).uses[runner]
 }
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// aggregationInterval is the interval at which a VM sends its report to the aggregator.
+	// aggregationInterval is the interval at which a VM sends its report to the aggregator, if there are at most
+	// membersPerInterval VMs. It grows in proportion with more, so that the aggregator serves as many reports a second.
 	aggregationInterval = 250 * time.Millisecond
+	membersPerInterval  = 100
 	// aggregationTimeout is the time limit for the call with a report, which takes some milliseconds on a healthy peer.
 	aggregationTimeout = 400 * time.Millisecond
 	// peerBackoff is how long a VM that did not answer cannot be the aggregator.
@@ -73,15 +75,21 @@
 // syncWithAggregator sends the VM's report to the aggregator and applies the summary that it returns. The aggregator
 // itself merges its own report and also plans the moves of models.
 func (g *Gateway) syncWithAggregator(ctx context.Context) error {
+	var reportedAt time.Time
 	return group.Every(ctx, aggregationInterval, func(time.Time) {
 		now := clock.Now()
 		aggregator := g.aggregator(now)
 		g.mu.Lock()
 		g.recordAggregator(now, aggregator)
+		isSelf := aggregator == "" || aggregator == g.settings.Name
+		if !isSelf && now.Sub(reportedAt) < g.reportDelay()+aggregationInterval/2 {
+			g.mu.Unlock()
+			return
+		}
 		report := g.report(now)
 		crashChanges := g.addCrashes(report)
 		g.mu.Unlock()
-		if aggregator == "" || aggregator == g.settings.Name {
+		if isSelf {
 			g.applySummary(now, now, g.mergeReport(now, report))
 			g.planMoves(now)
 			g.offerContent(now)
@@ -98,6 +106,7 @@
 			return
 		}
 		askedAt := now
+		reportedAt = now
 		now = clock.Now()
 		g.mu.Lock()
 		g.recordCrashExchange(now, report, crashChanges, summary)
@@ -106,6 +115,12 @@
 	})
 }
 
+// reportDelay returns by how much the interval between two reports exceeds aggregationInterval. After a report without an
+// answer the next one follows at once. The caller must hold the lock.
+func (g *Gateway) reportDelay() time.Duration {
+	return time.Duration((g.members()-1)/membersPerInterval) * aggregationInterval
+}
+
 // report returns the report of this VM for the aggregator. The caller must hold the lock.
 func (g *Gateway) report(now time.Time) *vm.Report {
 	report := &vm.Report{
@@ -193,12 +208,10 @@
 			Runner: id, Incarnation: owned.Incarnation, Holdings: owned.Holdings, Age: now.Sub(owned.AsOf), Moving: owned.Moving,
 		})
 	}
-	for ru, at := range g.reports.AdapterUsedAt(
-		now, received.VM, func(runner string) bool { return ownedByVM[runner] },
-	) {
-		s.AdapterUses = append(s.AdapterUses, vm.AdapterUse{Runner: ru.Runner, Unit: ru.Unit, Age: now.Sub(at)})
-	}
 	for id := range ownedByVM {
+		for unit, at := range g.reports.AdapterUses(now, id) {
+			s.AdapterUses = append(s.AdapterUses, vm.AdapterUse{Runner: id, Unit: unit, Age: now.Sub(at)})
+		}
 		if move, ok := g.planState.pendingMoves[id]; ok {
 			s.Moves[id] = move
 			delete(g.planState.pendingMoves, id)
--- a/transport/gateway/offer.go
+++ b/transport/gateway/offer.go
@@ -30,7 +30,7 @@
 	defer g.mu.Unlock()
 	for _, name := range g.candidates() {
 		if name == g.settings.Name || g.offersInFlight >= maxOffersAtOnce ||
-			now.Sub(g.reports.ReceivedAt(name)) < silentMemberAge || now.Sub(g.offeredAt[name]) < offerInterval {
+			now.Sub(g.reports.ReceivedAt(name)) < silentMemberAge+g.reportDelay() || now.Sub(g.offeredAt[name]) < offerInterval {
 			continue
 		}
 		g.offeredAt[name] = now
--- a/transport/gateway/plan.go
+++ b/transport/gateway/plan.go
@@ -93,6 +93,8 @@
 	now time.Time, service string, ownedRunners map[string]gathering.OwnedRunner,
 ) []*allocation.Runner {
 	var runners []*allocation.Runner
+	// The owner fetches the move with one report and tells of it with the next.
+	timeout := moveReportTimeout + 2*g.reportDelay()
 	for _, r := range g.directory.OfService(service) {
 		owned, ok := ownedRunners[r.ID]
 		holdings := r.Holdings
@@ -103,13 +105,13 @@
 			ID: r.ID, InMemory: r.InMemory, OnDisk: r.OnDisk, Draining: r.Draining,
 			Fixed:     !ok,
 			Reduction: allocation.LimitReduction(g.limits.PerSecond(r.ID)),
-			Moving:    owned.Moving || holdings.Busy || now.Sub(g.planState.lastPlannedAt[r.ID]) < moveReportTimeout,
+			Moving:    owned.Moving || holdings.Busy || now.Sub(g.planState.lastPlannedAt[r.ID]) < timeout,
 		}
 		for _, held := range holdings.Models {
 			p.Models = append(p.Models, held.Model)
 		}
 		p.Target = owned.Target
-		if move, ok := g.planState.pendingMoves[r.ID]; ok || now.Sub(g.planState.lastPlannedAt[r.ID]) < moveReportTimeout {
+		if move, ok := g.planState.pendingMoves[r.ID]; ok || now.Sub(g.planState.lastPlannedAt[r.ID]) < timeout {
 			p.Target = move.Load
 			if !ok {
 				p.Target = g.planState.lastTargets[r.ID]
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -31,7 +31,7 @@
 	// so that the other VMs read the store themselves. A single refusal is transient.
 	failuresBeforeSuspend = 2
 	// forwardedViewTimeout is the longest time since the last forwarded view for which a VM does not read the store
-	// itself. Views arrive every aggregationInterval.
+	// itself. Views arrive every aggregationInterval, or later by reportDelay.
 	forwardedViewTimeout = time.Second
 	// maxEntryBytes bounds the values other than the configuration that this VM keeps and forwards.
 	maxEntryBytes = 256 << 10
@@ -91,7 +91,7 @@
 	if !g.heldBackSince.IsZero() && now.Sub(g.heldBackSince) >= heldBackTimeout {
 		return false
 	}
-	return now.Sub(g.lastViewAt) < forwardedViewTimeout
+	return now.Sub(g.lastViewAt) < forwardedViewTimeout+g.reportDelay()
 }
 
 // readStore watches the store from the known revision until a call fails or another VM forwards its content. It lists the
