--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -76,9 +76,12 @@
 	processes       map[string]*process
 	// processIDs holds the process ID of each process by its name, for tasks that run beside the test.
 	processIDs sync.Map
-	vmNodes    []vmNode
-	catalog    catalog.Set
-	vmList     []platform.TargetGroup
+	// programBefore is the program of an earlier build, which every other start uses if it is not "", and starts counts them.
+	programBefore string
+	starts        int
+	vmNodes       []vmNode
+	catalog       catalog.Set
+	vmList        []platform.TargetGroup
 }
 
 // vmNode is one entry VM with its two processes.
@@ -175,7 +178,12 @@
 	// The log goes on after a restart.
 	log, err := os.OpenFile(filepath.Join(s.directory, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(s.t, err)
-	command := exec.Command(filepath.Join(binaries, "zinniaroute"), arguments...)
+	program := filepath.Join(binaries, "zinniaroute")
+	if s.programBefore != "" && s.starts%2 == 1 {
+		program = s.programBefore
+	}
+	s.starts++
+	command := exec.Command(program, arguments...)
 	command.Stdout, command.Stderr = log, log
 	assert.NilError(s.t, command.Start())
 	p := &process{name: name, command: command, log: log}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -30,6 +30,7 @@
 	soakSeeds        = flag.Int("soak.seeds", 1, "number of seeds of the fault soak")
 	soakSkippedPorts = flag.Int("soak.ports", 0, "number of ports to skip, so that several soaks can run side by side")
 	soakDuration     = flag.Duration("soak.time", 12*time.Second, "duration of the faults for each seed")
+	soakBefore       = flag.String("soak.before", "", "program of an earlier build, which every other gateway runs from each start on")
 )
 
 // soak sends requests to gateways while it injects random faults, and records what the callers received.
@@ -77,6 +78,7 @@
 		deployment: newDeployment(t), random: rand.New(rand.NewPCG(seed, 0)), version: 1, rejected: make(map[string]bool),
 		observer: newObserver(),
 	}
+	s.programBefore = *soakBefore
 	crash := modelrunner.Crash{
 		Body: crashingBody, After: time.Duration(s.random.IntN(2500)) * time.Millisecond, Silent: s.random.IntN(3) == 0,
 		NewID: s.random.IntN(2) == 0,
