End one connection or call at a malformed message, not the process

Cause: the HTTP library panics at it while it reads the head, which happens before a handler is called and outside of its recovery.

The transport of the servers recovers the panic of a connection and closes it. The client takes a response at which the library panics for bytes that are no response, in its head and in its body.

--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"io"
 	"net"
 	"net/netip"
@@ -162,7 +163,12 @@
 	return e.readResponse(options)
 }
 
-func (e *Exchange) readResponse(options Options) error {
+func (e *Exchange) readResponse(options Options) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = &Error{Stage: StageHeader, Cause: malformedResponse(cause)}
+		}
+	}()
 	for range maxSkippedResponses + 1 {
 		if err := checkHead(e.conn); err != nil {
 			return &Error{Stage: StageHeader, Cause: err}
@@ -273,7 +279,29 @@
 	if !e.Response.IsBodyStream() {
 		return eofReader{}
 	}
-	return e.Response.BodyStream()
+	return guardedReader{e.Response.BodyStream()}
+}
+
+// guardedReader reads a body with the HTTP library, which panics at some malformed ones.
+type guardedReader struct{ reader io.Reader }
+
+// Read reads from the body. It returns an error in place of a panic.
+func (g guardedReader) Read(p []byte) (n int, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			n, err = 0, malformedResponse(cause)
+		}
+	}()
+	return g.reader.Read(p)
+}
+
+// malformedResponses counts the responses at which the HTTP library panicked.
+var malformedResponses = expvar.NewInt("malformedResponses")
+
+// malformedResponse counts a response at which the HTTP library panicked, and returns the error of the call.
+func malformedResponse(cause any) error {
+	malformedResponses.Add(1)
+	return errors.WithMessagef(errNoResponse, "panic: %v", cause)
 }
 
 type eofReader struct{}
--- a/transport/httpserve/panic_test.go
+++ b/transport/httpserve/panic_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -13,6 +15,34 @@
 	"github.com/zinniaroute/zinniaroute/transport/group"
 )
 
+// The HTTP library panics while it reads a request, before it calls a handler.
+func TestMalformedRequestEndsItsConnectionOnly(t *testing.T) {
+	DisableLibraryLog()
+	listener, err := Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	server := NewServer(listener, DefaultBounds(), false)
+	var panics atomic.Int64
+	server.Panicked = func(error, []byte) { panics.Add(1) }
+	server.GET("/sound", func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(http.StatusOK) })
+	tasks, err := group.New(t.Context())
+	assert.NilError(t, err)
+	server.Start(tasks, "server")
+	malformed := []string{
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTrailer: ,X-Checksum\r\n\r\n0\r\nX-Checksum: 1\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n: 1\r\n\r\n",
+	}
+	for _, text := range malformed {
+		response := exchangeText(t, listener.Addr(), text)
+		assert.Check(t, !strings.HasPrefix(response, "HTTP/1.1 200"), "%q", response)
+		sound, err := http.Get("http://" + listener.Addr().String() + "/sound")
+		assert.NilError(t, err)
+		assert.Equal(t, sound.StatusCode, http.StatusOK)
+		_ = sound.Body.Close()
+	}
+	assert.Check(t, panics.Load() > 0, "the library does not panic any more")
+	assert.NilError(t, tasks.Stop())
+}
+
 // An unexpected fault in the handling of one request must not end the process.
 func TestPanicInAHandlerEndsOneRequestOnly(t *testing.T) {
 	DisableLibraryLog()
--- a/transport/httpserve/server.go
+++ b/transport/httpserve/server.go
@@ -13,7 +13,6 @@
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/common/tracer/stats"
 	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/pkg/errors"
 
 	"github.com/zinniaroute/zinniaroute/transport/framing"
@@ -46,7 +45,7 @@
 	*server.Hertz
 	listener net.Listener
 	requests *requestCounter
-	// Panicked, if set, is told of handlers that panicked. It must be set before Start.
+	// Panicked, if set, is told of panics in handlers and in the reading of requests. It must be set before Start.
 	Panicked func(cause error, stack []byte)
 }
 
@@ -76,11 +75,12 @@
 // arrives.
 func NewServer(listener net.Listener, bounds Bounds, streaming bool) *Server {
 	requests := &requestCounter{}
-	hertz := server.New(
+	s := &Server{listener: listener, requests: requests}
+	s.Hertz = server.New(
 		server.WithTracer(requests),
 		server.WithTraceLevel(stats.LevelDisabled),
 		server.WithListener(listener),
-		server.WithTransport(standard.NewTransporter),
+		server.WithTransport(newTransporter(s.recordPanic)),
 		server.WithSenseClientDisconnection(true),
 		server.WithStreamBody(streaming),
 		server.WithMaxRequestBodySize(bounds.BodyBytes),
@@ -97,8 +97,7 @@
 		server.WithDisableDefaultContentType(true),
 		server.WithRedirectTrailingSlash(false),
 	)
-	s := &Server{Hertz: hertz, listener: listener, requests: requests}
-	hertz.Use(requests.begin, recovery.Recovery(recovery.WithRecoveryHandler(s.recover)), rejectAmbiguous)
+	s.Use(requests.begin, recovery.Recovery(recovery.WithRecoveryHandler(s.recover)), rejectAmbiguous)
 	return s
 }
 
@@ -112,12 +111,16 @@
 	}
 }
 
-// recover ends the request whose handler panicked. A response that has begun must not look complete.
-func (s *Server) recover(_ context.Context, c *app.RequestContext, cause any, stack []byte) {
+func (s *Server) recordPanic(cause error, stack []byte) {
 	handlerPanics.Add(1)
 	if s.Panicked != nil {
-		s.Panicked(errors.Errorf("panic: %v", cause), stack)
+		s.Panicked(cause, stack)
 	}
+}
+
+// recover ends the request whose handler panicked. A response that has begun must not look complete.
+func (s *Server) recover(_ context.Context, c *app.RequestContext, cause any, stack []byte) {
+	s.recordPanic(errors.Errorf("panic: %v", cause), stack)
 	if c.Response.GetHijackWriter() != nil {
 		// The server ends its read of the connection itself only if the response was written.
 		if detector, ok := c.GetConn().(closeDetector); ok && !c.Request.IsBodyStream() {
