--- a/coordination/relay/pace_test.go
+++ b/coordination/relay/pace_test.go
@@ -27,7 +27,7 @@
 
 func TestLargeValueIsHeldBack(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	large := Item{Key: "op/config", Value: make([]byte, minPackedBytes), Revision: 7}
+	large := Item{Key: "routes", Value: make([]byte, minPackedBytes), Revision: 7}
 	items := []Item{{Key: "a", Revision: 5}, large, {Key: "b", Revision: 9, Deleted: true}}
 	tests := []struct {
 		name     string
--- a/integration/gateway_config_test.go
+++ b/integration/gateway_config_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/zinniaroute/zinniaroute/standin/caller"
 )
 
 // applyTimeout is the time within which every gateway must apply a configuration after its write to the store.
@@ -50,7 +52,6 @@
 // has changed since: a listing takes the links of small VMs for a second and more.
 func TestGatewaysListTheStoreAgainWhenItsReaderEnds(t *testing.T) {
 	t.Parallel()
-	const listing = "/zinniaroute/kv-range"
 	d := newDeployment(t)
 	d.addRunner("p1", plainService)
 	others := []string{"vm-2", "vm-3", "vm-4"}
@@ -66,7 +67,7 @@
 			Calls map[string]int `json:"storeCalls"`
 		}
 		assert.NilError(t, getJSON(d.gateways[vm].operations, "/debug/vars", &vars))
-		return vars.Calls[listing]
+		return vars.Calls[caller.ListPath]
 	}
 	// The others end their own reading once views arrive.
 	time.Sleep(2 * time.Second)
--- a/integration/gateway_endless_test.go
+++ b/integration/gateway_endless_test.go
@@ -99,7 +99,7 @@
 		callers = 48
 		// memoryLimit is the memory of the gateways' settings.
 		memoryLimit = 256 << 20
-		head        = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Zinniaroute-Response-Seal: s\r\n"
+		head        = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + caller.SealHeader + ": s\r\n"
 		chunked     = head + "Transfer-Encoding: chunked\r\n\r\n"
 	)
 	d := newDeployment(t)
--- a/protocol/vm/messages_test.go
+++ b/protocol/vm/messages_test.go
@@ -14,7 +14,7 @@
 
 func sampleView() relay.View {
 	return relay.View{Revision: 12, Full: true, Age: time.Second, Items: []relay.Item{
-		{Key: "op/config", Value: []byte("{}"), Revision: 11}, {Key: "servers/r1", Revision: 12, Deleted: true},
+		{Key: "routes", Value: []byte("{}"), Revision: 11}, {Key: "runners/r1", Revision: 12, Deleted: true},
 	}}
 }
 
@@ -42,7 +42,7 @@
 			&Report{}, sampleReport(),
 		},
 		{
-			"summary", "a506a4010c02f50382a301696f702f636f6e66696702427b7d030ba3016a736572766572732f7231030c04f5041a3b9aca00" +
+			"summary", "a506a4010c02f50382a30166726f7574657302427b7d030ba3016a72756e6e6572732f7231030c04f5041a3b9aca00" +
 				"071a9502f9000861610904118164766d2d32",
 			&Summary{}, sampleSummary(),
 		},
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -17,10 +17,13 @@
 	ConfigurationKey = "op/config"
 	RunnerKeys       = "servers/"
 
-	// AttemptHeader is the request header with the ID of the attempt.
+	// AttemptHeader is the request header with the ID of the attempt, and SealHeader the response header with the signature
+	// of a runner.
 	AttemptHeader = "X-Zinniaroute-Attempt-Id"
+	SealHeader    = "X-Zinniaroute-Response-Seal"
+	// ListPath is the path of the store's call that lists items.
+	ListPath = "/zinniaroute/kv-range"
 
-	headerSeal  = "X-Zinniaroute-Response-Seal"
 	headerLimit = "Server-Limit"
 	// headerLeaving is set in the answers of a runner that leaves.
 	headerLeaving = "Server-Leaving"
@@ -72,7 +75,7 @@
 }
 
 // ResponseSeal returns the signature of the runner that sent the response, or "" if there is none.
-func ResponseSeal(response *http.Response) string { return response.Header.Get(headerSeal) }
+func ResponseSeal(response *http.Response) string { return response.Header.Get(SealHeader) }
 
 // Leaving reports whether the runner said in its response that it leaves.
 func Leaving(response *http.Response) bool { return response.Header.Get(headerLeaving) != "" }
