--- a/transport/gateway/spread_test.go
+++ b/transport/gateway/spread_test.go
@@ -36,7 +36,6 @@
 	// known is the revision up to which it knows the content, and waitsUntil when it may exchange again.
 	known      fleet.Revision
 	waitsUntil time.Time
-	timeouts   int
 }
 
 // Hundreds of VMs get a change of a large configuration from one aggregator, over its link and over the slow links of most of
