--- a/transport/httpserve/framing_test.go
+++ b/transport/httpserve/framing_test.go
@@ -34,7 +34,6 @@
 
 // A request whose end is ambiguous hides another one in its body, which runs as a request that no caller sent.
 func TestRequestInsideARequestIsServed(t *testing.T) {
-	DisableLibraryLog()
 	listener, err := Listen("127.0.0.1:0")
 	assert.NilError(t, err)
 	server := NewServer(listener, DefaultBounds(), false)
--- a/transport/httpserve/inflight_test.go
+++ b/transport/httpserve/inflight_test.go
@@ -17,7 +17,6 @@
 
 // A request counts as in flight until its response is written, not only until its handler returns.
 func TestRequestIsInFlightUntilItsResponseIsWritten(t *testing.T) {
-	DisableLibraryLog()
 	const size = 8 << 20
 	listener, err := Listen("127.0.0.1:0")
 	assert.NilError(t, err)
--- a/transport/httpserve/panic_test.go
+++ b/transport/httpserve/panic_test.go
@@ -17,7 +17,6 @@
 
 // The HTTP library panics while it reads a request, before it calls a handler.
 func TestMalformedRequestEndsItsConnectionOnly(t *testing.T) {
-	DisableLibraryLog()
 	listener, err := Listen("127.0.0.1:0")
 	assert.NilError(t, err)
 	server := NewServer(listener, DefaultBounds(), false)
@@ -45,7 +44,6 @@
 
 // An unexpected fault in the handling of one request must not end the process.
 func TestPanicInAHandlerEndsOneRequestOnly(t *testing.T) {
-	DisableLibraryLog()
 	listener, err := Listen("127.0.0.1:0")
 	assert.NilError(t, err)
 	server := NewServer(listener, DefaultBounds(), false)
