Send the states of runners in parts, and report again no sooner after a timeout

Hundreds of VMs that turned to another VM for merging the reports asked it four times a second as long as their calls timed out, and each got all states of runners again: 24 kB for 165 runners, more than its link and its processor could bear.

Cause: the longer interval between reports held after an answer only, and a new aggregator sent everything at once.

The interval holds after a failed call too, the limit of the call grows with it, and at most 48 states are sent at once, in the order of their changes.

--- a/coordination/gathering/reports.go
+++ b/coordination/gathering/reports.go
@@ -1,6 +1,7 @@
 package gathering
 
 import (
+	"cmp"
 	"reflect"
 	"slices"
 	"time"
@@ -18,6 +19,10 @@
 // served the VM.
 const maxAdvanceAge = 1500 * time.Millisecond
 
+// maxChanges bounds the states of runners that a VM is sent at once. When the VM that merges the reports changes, all others
+// need all states from it.
+const maxChanges = 48
+
 // Report is one VM's report, with times in the clock of the aggregator.
 type Report struct {
 	// EndpointLoads holds the load that the VM's requests cause on each endpoint, by runner.
@@ -125,16 +130,27 @@
 	return o.Incarnation == other.Incarnation && o.Moving == other.Moving && reflect.DeepEqual(o.Holdings, other.Holdings)
 }
 
-// OwnedChangedSince returns the runners that changed after the change number since, and the latest number.
+// OwnedChangedSince returns the runners that changed first after the change number since, maxChanges at the most, and the
+// number up to which these are all.
 func (r *Reports) OwnedChangedSince(now time.Time, since uint64) (map[string]OwnedRunner, uint64) {
 	r.forgetOwned(now)
-	changed := make(map[string]OwnedRunner)
+	var runners []string
 	for runner, owned := range r.owned {
 		if owned.change > since {
-			changed[runner] = owned.state
+			runners = append(runners, runner)
 		}
 	}
-	return changed, r.changes
+	upTo := r.changes
+	if len(runners) > maxChanges {
+		slices.SortFunc(runners, func(a, b string) int { return cmp.Compare(r.owned[a].change, r.owned[b].change) })
+		runners = runners[:maxChanges]
+		upTo = r.owned[runners[maxChanges-1]].change
+	}
+	changed := make(map[string]OwnedRunner, len(runners))
+	for _, runner := range runners {
+		changed[runner] = r.owned[runner].state
+	}
+	return changed, upTo
 }
 
 // forgetOwned removes the runners that no VM reports any more.
--- a/transport/gateway/aggregation.go
+++ b/transport/gateway/aggregation.go
@@ -21,7 +21,8 @@
 	// membersPerInterval VMs. It grows in proportion with more, so that the aggregator serves as many reports a second.
 	aggregationInterval = 250 * time.Millisecond
 	membersPerInterval  = 100
-	// aggregationTimeout is the time limit for the call with a report, which takes some milliseconds on a healthy peer.
+	// aggregationTimeout is the time limit for the call with a report, which takes some milliseconds on a healthy peer. It is
+	// longer by half of reportDelay, as hundreds of VMs may turn to a peer at once.
 	aggregationTimeout = 400 * time.Millisecond
 	// peerBackoff is how long a VM that did not answer cannot be the aggregator.
 	peerBackoff = 3 * time.Second
@@ -88,7 +89,9 @@
 		}
 		report := g.report(now)
 		crashChanges := g.addCrashes(report)
+		timeout := aggregationTimeout + g.reportDelay()/2
 		g.mu.Unlock()
+		reportedAt = now
 		if isSelf {
 			g.applySummary(now, now, g.mergeReport(now, report))
 			g.planMoves(now)
@@ -96,7 +99,7 @@
 			return
 		}
 		peer := g.peers.get(aggregator)
-		summary, err := rpc.Call[vm.Report, vm.Summary](ctx, peer.reportClient, vm.CallExchange, report, aggregationTimeout)
+		summary, err := rpc.Call[vm.Report, vm.Summary](ctx, peer.reportClient, vm.CallExchange, report, timeout)
 		if err != nil {
 			g.peers.setBackoff(aggregator, clock.Now().Add(peerBackoff))
 			g.log.Emit(eventlog.PeerUnreachable, aggregator, err)
@@ -106,7 +109,6 @@
 			return
 		}
 		askedAt := now
-		reportedAt = now
 		now = clock.Now()
 		g.mu.Lock()
 		g.recordCrashExchange(now, report, crashChanges, summary)
@@ -115,8 +117,8 @@
 	})
 }
 
-// reportDelay returns by how much the interval between two reports exceeds aggregationInterval. After a report without an
-// answer the next one follows at once. The caller must hold the lock.
+// reportDelay returns by how much the interval between two reports exceeds aggregationInterval. The caller must hold the
+// lock.
 func (g *Gateway) reportDelay() time.Duration {
 	return time.Duration((g.members()-1)/membersPerInterval) * aggregationInterval
 }
