Count the crashes of a request over all models

Cause: the fingerprint by which crashes are counted held the model, which is not part of what a retry repeats.

The fingerprint holds host, target and body. VMs of the build before count by the one with the model, so each crash is recorded under both for now; no field is added to a message or to the store.

--- a/integration/gateway_crash_test.go
+++ b/integration/gateway_crash_test.go
@@ -193,6 +193,25 @@
 	}
 }
 
+// A caller sends a request that crashes runners again for another model when it is refused (BUDGET).
+func TestRequestForAnotherModelKeepsReachingRunners(t *testing.T) {
+	t.Parallel()
+	crash := modelrunner.Crash{Body: "poison"}
+	c := crashingDeployment(t, modelService, crash)
+	for i := range 6 {
+		c.addRunner(fmt.Sprint("s", i), modelService, "large", "small").SetCrash(crash)
+	}
+	models := []string{"large", "small", "large/a1"}
+	for i := 0; c.lateRetries("poison") <= maxLateRetries && i < 42; i++ {
+		// Requests with the same parts of the prompt are served meanwhile.
+		c.send(c.names[0], modelPath, models[i/14])
+		c.sendInTurn(modelPath, models[i/14], "poison", 5*time.Second)
+		group.Sleep(t.Context(), 300*time.Millisecond)
+	}
+	assert.Check(t, len(c.crashes()) >= 3)
+	assert.Check(t, c.lateRetries("poison") <= maxLateRetries, "%d late retries", c.lateRetries("poison"))
+}
+
 // sendFrom sends a request without a body over a connection of its own from an address.
 func (d *deployment) sendFrom(address netip.Addr, gateway, path string) {
 	dialer := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(address, 0))}
--- a/state/fleet/request.go
+++ b/state/fleet/request.go
@@ -32,8 +32,10 @@
 type Request struct {
 	// ID is the identifier that the caller gave this attempt.
 	ID string
-	// Fingerprint is a hash of the request's content; retries of a request have the same.
+	// Fingerprint is a hash of the request's content; retries of a request have the same, also for another model.
 	Fingerprint uint64
+	// ModelFingerprint is a hash of the content and the model, by which the build before counts crashes.
+	ModelFingerprint uint64
 	// Caller is the address that the caller connected from, and Target the path and query that it sent.
 	Caller netip.Addr
 	Target string
--- a/state/quarantine/runs.go
+++ b/state/quarantine/runs.go
@@ -23,6 +23,8 @@
 	Request string
 	Caller  netip.Addr
 	Target  string
+	// ModelFingerprint is the fingerprint by which the build before counts the crash, or zero.
+	ModelFingerprint Fingerprint
 	// Parts are the parts of the prompt that other requests may share, in order.
 	Parts []uint64
 }
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -58,18 +58,18 @@
 // quarantineRefusal returns the refusal of a request that is quarantined because it, or requests with a part of its
 // prompt, crashed several endpoints, or nil.
 func (g *Gateway) quarantineRefusal(now time.Time, x *exchange) *lifecycle.NoEndpoint {
-	fingerprint := quarantine.Fingerprint(x.request.Fingerprint)
 	g.mu.Lock()
 	var retryAfter time.Duration
+	var refused quarantine.Fingerprint
 	if !x.trial {
-		retryAfter, x.trial = g.crashes.tracker.Admit(now, fingerprint)
+		retryAfter, refused = g.admit(now, x)
 	}
 	partRetryAfter, part := g.crashes.parts.RetryAfter(now, x.request.SharedParts())
 	g.mu.Unlock()
 	switch {
 	case retryAfter > 0:
 		crashRecords.Add("refused", 1)
-		g.log.Emit(eventlog.RequestQuarantined, x.request.ID, fingerprint.String(), retryAfter.Milliseconds())
+		g.log.Emit(eventlog.RequestQuarantined, x.request.ID, refused.String(), retryAfter.Milliseconds())
 		return &lifecycle.NoEndpoint{Reason: "the request has crashed several endpoints", RetryAfter: retryAfter}
 	case partRetryAfter > 0:
 		crashRecords.Add("partRefused", 1)
@@ -80,6 +80,29 @@
 	}
 }
 
+// admit returns the time until the quarantine of a request ends, with its fingerprint, or zero when the request may run. The
+// caller must hold the lock.
+func (g *Gateway) admit(now time.Time, x *exchange) (time.Duration, quarantine.Fingerprint) {
+	for _, fingerprint := range x.fingerprints() {
+		retryAfter, trial := g.crashes.tracker.Admit(now, fingerprint)
+		if retryAfter > 0 {
+			return retryAfter, fingerprint
+		}
+		x.trial = x.trial || trial
+	}
+	return 0, 0
+}
+
+// fingerprints returns the fingerprints of the request: that of its content and, if it differs, that by which the build
+// before counts crashes.
+func (x *exchange) fingerprints() []quarantine.Fingerprint {
+	all := []quarantine.Fingerprint{quarantine.Fingerprint(x.request.Fingerprint)}
+	if byModel := x.request.ModelFingerprint; byModel != 0 && byModel != x.request.Fingerprint {
+		all = append(all, quarantine.Fingerprint(byModel))
+	}
+	return all
+}
+
 // beginRun records that the request is sent to its endpoint. The caller must hold the lock.
 func (x *exchange) beginRun(now time.Time) {
 	runner := x.choice.Runner
@@ -88,6 +111,7 @@
 	)
 	x.run.Origin = quarantine.Origin{
 		Request: x.request.ID, Caller: x.request.Caller, Target: x.request.Target, Parts: x.request.SharedParts(),
+		ModelFingerprint: quarantine.Fingerprint(x.request.ModelFingerprint),
 	}
 }
 
@@ -101,14 +125,15 @@
 	}
 	g.putClearances(now, g.crashes.parts.RecordCompleted(x.run.Origin.Parts, x.run.AnsweredAt()))
 	g.recordAnswered(now, x.choice.Runner.ID, x.choice.Runner.Incarnation, x.run.SentAt())
-	fingerprint := quarantine.Fingerprint(x.request.Fingerprint)
-	cleared := g.crashes.tracker.RecordCompleted(now, fingerprint, x.choice.Runner.ID, x.run.SentAt())
-	if len(cleared) == 0 {
-		return
+	for _, fingerprint := range x.fingerprints() {
+		cleared := g.crashes.tracker.RecordCompleted(now, fingerprint, x.choice.Runner.ID, x.run.SentAt())
+		if len(cleared) == 0 {
+			continue
+		}
+		g.putCrashRecords(now, cleared)
+		crashRecords.Add("dropped", 1)
+		g.log.Emit(eventlog.CrashRecordDropped, x.request.ID, fingerprint.String(), x.choice.Runner.ID)
 	}
-	g.putCrashRecords(now, cleared)
-	crashRecords.Add("dropped", 1)
-	g.log.Emit(eventlog.CrashRecordDropped, x.request.ID, fingerprint.String(), x.choice.Runner.ID)
 }
 
 // failRun records a run that ended without a whole answer. If the runner ended the connection, the request may have
@@ -156,12 +181,7 @@
 
 // recordCrash records a crash that this VM observed. The caller must hold the lock.
 func (g *Gateway) recordCrash(now time.Time, origin quarantine.Origin, crash quarantine.Crash, evidence error) {
-	refused := g.crashes.tracker.RetryAfter(now, crash.Fingerprint) > 0
-	suspicion := g.crashes.tracker.RecordCrash(now, crash)
-	if len(suspicion.Endpoints) > 0 || len(crash.Parts) > 0 {
-		g.putCrashRecords(now, []quarantine.Crash{crash})
-		g.crashes.observed[crash.Fingerprint.String()] = now
-	}
+	suspicion, quarantined := g.countCrash(now, crash)
 	for _, part := range crash.Parts {
 		g.crashes.observed[partKey(part)] = now
 	}
@@ -172,7 +192,32 @@
 		partNames(origin.Parts), crash.Endpoint,
 		crash.EndedAt.Sub(crash.SentAt).Milliseconds(), crash.Early, len(suspicion.Endpoints), evidence,
 	)
-	if suspicion.Quarantined() && !refused {
+	if quarantined {
+		g.logQuarantines("this VM", suspicion)
+	}
+	g.countForBuildBefore(now, origin, crash)
+}
+
+// countCrash adds a crash to those of its request. It returns what they add up to, and whether the request is quarantined
+// because of it. The caller must hold the lock.
+func (g *Gateway) countCrash(now time.Time, crash quarantine.Crash) (suspicion quarantine.Suspicion, quarantined bool) {
+	refused := g.crashes.tracker.RetryAfter(now, crash.Fingerprint) > 0
+	suspicion = g.crashes.tracker.RecordCrash(now, crash)
+	if len(suspicion.Endpoints) > 0 || len(crash.Parts) > 0 {
+		g.putCrashRecords(now, []quarantine.Crash{crash})
+		g.crashes.observed[crash.Fingerprint.String()] = now
+	}
+	return suspicion, suspicion.Quarantined() && !refused
+}
+
+// countForBuildBefore records a crash also under the fingerprint by which VMs of the build before count it. The caller must
+// hold the lock.
+func (g *Gateway) countForBuildBefore(now time.Time, origin quarantine.Origin, crash quarantine.Crash) {
+	if origin.ModelFingerprint == 0 || origin.ModelFingerprint == crash.Fingerprint {
+		return
+	}
+	crash.Fingerprint, crash.Parts = origin.ModelFingerprint, nil
+	if suspicion, quarantined := g.countCrash(now, crash); quarantined {
 		g.logQuarantines("this VM", suspicion)
 	}
 }
--- a/transport/gateway/quarantine_test.go
+++ b/transport/gateway/quarantine_test.go
@@ -162,3 +162,56 @@
 		assert.Equal(t, retryAfter > 0, answered > 0, "%d runners answered the check", answered)
 	}
 }
+
+// VMs of the build before count the crashes of a request for each model by itself.
+func TestCrashesAreCountedTogetherWithTheBuildBefore(t *testing.T) {
+	const content, model, otherModel = 1, 2, 3
+	now := time.Unix(1_000_000, 0)
+	request := func(byModel uint64) fleet.Request {
+		return fleet.Request{Fingerprint: content, ModelFingerprint: byModel, Unit: fleet.Unit{Model: "large"}}
+	}
+	crashOf := func(fingerprint quarantine.Fingerprint, runner int) quarantine.Crash {
+		return quarantine.Crash{
+			Fingerprint: fingerprint, Endpoint: fmt.Sprint("r", runner), SentAt: now, EndedAt: now, Early: true,
+		}
+	}
+	tests := []struct {
+		name string
+		// here and before are the crashes that this VM and one of the build before have observed.
+		here, before int
+		// refused is whether this VM refuses the request, refusedOther whether it refuses it for another model, and
+		// refusedBefore whether the VM of the build before does.
+		refused, refusedOther, refusedBefore bool
+	}{
+		{"crashes at this build", 3, 0, true, true, true},
+		{"crashes at the build before", 0, 3, true, false, true},
+		{"crashes at both", 2, 1, true, false, true},
+		{"too few", 1, 1, false, false, false},
+	}
+	for _, test := range tests {
+		v := &simulatedVM{name: "vm-1"}
+		v.start(now)
+		g := v.gateway
+		before := quarantine.NewTracker()
+		g.mu.Lock()
+		for i := range test.here {
+			g.recordCrash(now, quarantine.Origin{ModelFingerprint: model}, crashOf(content, i), io.EOF)
+		}
+		var observed []quarantine.Crash
+		for i := range test.before {
+			observed = append(observed, crashOf(model, test.here+i))
+			before.RecordCrash(now, observed[i])
+		}
+		g.mergeCrashes(now, "vm-2", observed)
+		report := g.report(now)
+		g.addCrashes(report)
+		g.mu.Unlock()
+		before.Merge(now, report.Crashes)
+		refuses := func(byModel uint64) bool {
+			return g.quarantineRefusal(now, &exchange{gateway: g, request: request(byModel)}) != nil
+		}
+		assert.Equal(t, refuses(model), test.refused, test.name)
+		assert.Equal(t, refuses(otherModel), test.refusedOther, test.name)
+		assert.Equal(t, before.RetryAfter(now, model) > 0, test.refusedBefore, test.name)
+	}
+}
