Reset the connection of an order when the process ends

Cause: the kernel goes on sending what a process has written when the process ends, and delivers it after the partition. Only calls that were cancelled reset their connection.

While an order is on its way, its connection is set to be reset when it is closed, which the kernel also does at the end of the process.

The stand-in of a link took every close for a reset; it now holds data back after a close, and can deliver them some time after the partition.

--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -92,7 +92,10 @@
 	}
 }
 
-// Order is an order that a runner has accepted.
+// OrderPath is the path at which runners take orders.
+const OrderPath = "/zinniaroute/order"
+
+// Order is an order that has reached a runner.
 type Order struct {
 	Holder string
 	Fence  uint64
@@ -111,6 +114,7 @@
 	busy          bool
 	sequence      uint64
 	orders        []Order
+	received      []Order
 	runs          []Run
 	overcommitted bool
 	// truncateAfter is the number of events after which the next stream is truncated; negative means that it is not.
@@ -150,7 +154,7 @@
 	}
 	server := httpserve.NewServer(listener, httpserve.DefaultBounds(), false)
 	server.GET("/zinniaroute/report", r.report)
-	server.POST("/zinniaroute/order", r.order)
+	server.POST(OrderPath, r.order)
 	server.NoRoute(r.run)
 	server.NoMethod(r.run)
 	server.Start(g, "runner stand-in")
@@ -226,6 +230,13 @@
 	return slices.Clone(r.orders)
 }
 
+// ReceivedOrders returns the orders that have reached the runner, also those that it has rejected, in order of arrival.
+func (r *Runner) ReceivedOrders() []Order {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.received)
+}
+
 // Overcommitted reports whether orders have ever exceeded the memory or the adapter slots of the runner.
 func (r *Runner) Overcommitted() bool {
 	r.mu.Lock()
@@ -275,11 +286,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	received := Order{Holder: o.Holder, Fence: o.Fence, At: time.Now()}
+	r.received = append(r.received, received)
 	if r.busy || o.Expected != r.sequence {
 		c.SetStatusCode(statusConflict)
 		return
 	}
-	r.orders = append(r.orders, Order{Holder: o.Holder, Fence: o.Fence, At: time.Now()})
+	r.orders = append(r.orders, received)
 	c.SetStatusCode(r.execute(o))
 }
 
--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,6 +39,9 @@
 	Freeze     bool `json:"freeze,omitempty"`
 	FreezeUp   bool `json:"freezeUp,omitempty"`
 	FreezeDown bool `json:"freezeDown,omitempty"`
+	// Resend is the time from the end of a freeze until the data arrive that it held back, as TCP sends them again after ever
+	// longer pauses.
+	Resend document.Duration `json:"resend,omitzero"`
 	// Delay delays each chunk of data.
 	Delay document.Duration `json:"delay,omitzero"`
 	// BytesPerSecond limits the rate of answers; zero means no limit.
@@ -80,11 +84,13 @@
 	mu       sync.Mutex
 	faults   Faults
 	links    map[*link]bool
+	// held holds the data for the target that the proxy holds back.
+	held map[*link]string
 }
 
 // New returns a proxy without faults.
 func New(target netip.AddrPort) *Proxy {
-	return &Proxy{target: target, links: make(map[*link]bool)}
+	return &Proxy{target: target, links: make(map[*link]bool), held: make(map[*link]string)}
 }
 
 // Start forwards the connections of a listener and serves FaultsPath on the admin listener, in the group.
@@ -237,7 +243,7 @@
 		if f.Duplicate {
 			sent = append(sent, data...)
 		}
-		return p.holdCallerData(ctx, l)
+		return p.holdCallerData(ctx, l, data)
 	})
 	if len(sent) > 0 {
 		p.sendDuplicate(ctx, l, sent)
@@ -304,23 +310,64 @@
 	}
 }
 
-// holdCallerData waits while the direction to the target is frozen. It returns false if the caller closes or resets the
-// connection meanwhile. The data that the caller has sent is then dropped, as a kernel drops unacknowledged data. It
-// also returns false if the caller sends more data during a freeze, which closes the connection.
-func (p *Proxy) holdCallerData(ctx context.Context, l *link) bool {
-	from, buffer := l.caller, make([]byte, 1)
-	for f := p.current(l); (f.Freeze || f.FreezeUp) && ctx.Err() == nil; f = p.current(l) {
-		_ = from.SetReadDeadline(time.Now().Add(freezePollInterval))
-		_, err := from.Read(buffer)
+// holdCallerData waits while the direction to the target is frozen, and for Resend after that. It returns false if the caller
+// resets the connection meanwhile: its kernel drops the data. After a close, or the end of the caller's process, the kernel goes
+// on sending them. It also returns false if the caller sends more data during a freeze, which closes the connection.
+func (p *Proxy) holdCallerData(ctx context.Context, l *link, data []byte) bool {
+	f := p.current(l)
+	if !f.Freeze && !f.FreezeUp {
+		return true
+	}
+	p.setHeld(l, string(data))
+	defer p.setHeld(l, "")
+	resend, closed := f.Resend.Duration, false
+	wait := func() bool {
+		if closed {
+			group.Sleep(ctx, freezePollInterval)
+			return true
+		}
+		_ = l.caller.SetReadDeadline(time.Now().Add(freezePollInterval))
+		_, err := l.caller.Read(make([]byte, 1))
+		closed = errors.Is(err, io.EOF)
 		var timeout net.Error
-		if !errors.As(err, &timeout) || !timeout.Timeout() {
+		return closed || errors.As(err, &timeout) && timeout.Timeout()
+	}
+	for ; (f.Freeze || f.FreezeUp) && ctx.Err() == nil; f = p.current(l) {
+		if !wait() {
+			return false
+		}
+	}
+	for endedAt := time.Now(); time.Since(endedAt) < resend && ctx.Err() == nil; {
+		if !wait() {
 			return false
 		}
 	}
-	_ = from.SetReadDeadline(time.Time{})
+	_ = l.caller.SetReadDeadline(time.Time{})
 	return true
 }
 
+func (p *Proxy) setHeld(l *link, data string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if data == "" {
+		delete(p.held, l)
+		return
+	}
+	p.held[l] = data
+}
+
+// Holds reports whether the proxy holds back data for the target that begin with a prefix.
+func (p *Proxy) Holds(prefix string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, data := range p.held {
+		if strings.HasPrefix(data, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 // waitWhileFrozen waits while frozen returns true for the current faults.
 func (p *Proxy) waitWhileFrozen(ctx context.Context, l *link, frozen func(f Faults) bool) {
 	for frozen(p.current(l)) && ctx.Err() == nil {
--- a/transport/engineapi/client.go
+++ b/transport/engineapi/client.go
@@ -75,7 +75,7 @@
 		return ledger.Refused, err.Error()
 	}
 	request := httpcall.NewRequest("POST", address, pathOf(order), body)
-	exchange, err := c.http.Start(ctx, address, request, httpcall.Options{Fresh: true})
+	exchange, err := c.http.Start(ctx, address, request, httpcall.Options{Fresh: true, ResetAtExit: true})
 	if err != nil {
 		return failedResult(err), err.Error()
 	}
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -83,6 +83,9 @@
 	MaxBody int
 	// ReadTimeout bounds the time without any byte of the response. Zero means no bound.
 	ReadTimeout time.Duration
+	// ResetAtExit resets the connection if the process ends during the call. Otherwise the kernel goes on sending a request
+	// that a network partition holds up.
+	ResetAtExit bool
 	// Accept reports whether a response belongs to this request. Others are read and dropped. Nil accepts all.
 	Accept func(header *protocol.ResponseHeader) bool
 }
@@ -97,6 +100,8 @@
 	ended      bool
 	// writeResult delivers the result of writing a long request.
 	writeResult chan error
+	// resetAtExit means that the connection is reset if the process ends.
+	resetAtExit bool
 	// untilClose means that the body ends with the connection.
 	untilClose bool
 	// fixed is the body if its length is known, and nil otherwise.
@@ -123,13 +128,20 @@
 		closeConn(conn)
 		return nil, &Error{Stage: StageDial, Cause: err}
 	}
+	if options.ResetAtExit {
+		if err := setLinger(conn, resetLinger); err != nil {
+			closeConn(conn)
+			return nil, &Error{Stage: StageDial, Cause: err}
+		}
+	}
 	stopCancel := context.AfterFunc(ctx, func() { resetConn(conn) })
 	exchange := &Exchange{
-		Response:   &protocol.Response{},
-		client:     c,
-		address:    address,
-		conn:       conn,
-		stopCancel: stopCancel,
+		Response:    &protocol.Response{},
+		client:      c,
+		address:     address,
+		conn:        conn,
+		stopCancel:  stopCancel,
+		resetAtExit: options.ResetAtExit,
 	}
 	if err := exchange.send(request, options); err != nil {
 		exchange.Abort()
@@ -324,6 +336,10 @@
 		closeConn(e.conn)
 		return
 	}
+	if e.resetAtExit && setLinger(e.conn, defaultLinger) != nil {
+		closeConn(e.conn)
+		return
+	}
 	e.client.putIdle(e.address, e.conn, idleTimeout(&e.Response.Header))
 }
 
@@ -415,13 +431,25 @@
 // resetConn closes a connection and discards all bytes that have not reached the endpoint. Otherwise a request that is
 // cancelled during a network partition would arrive when the partition ends.
 func resetConn(conn network.Conn) {
+	// If this fails, the connection is closed without a reset.
+	_ = setLinger(conn, resetLinger)
+	closeConn(conn)
+}
+
+// The values of setLinger, in seconds: a close resets the connection, or sends what has been written first.
+const (
+	resetLinger   = 0
+	defaultLinger = -1
+)
+
+// setLinger sets what the close of a TCP connection does, also the one at the end of the process.
+func setLinger(conn network.Conn, seconds int) error {
 	if c, ok := conn.(*connection); ok {
 		if tcp, isTCP := c.Conn.(*net.TCPConn); isTCP {
-			// If this fails, the connection is closed without a reset.
-			_ = tcp.SetLinger(0)
+			return tcp.SetLinger(seconds)
 		}
 	}
-	closeConn(conn)
+	return nil
 }
 
 // closeConn closes a connection. It ignores the error, because the connection is not used any more.
