Let a load take longer than the request of a test waits

TestTraceShowsWhyRequestFailed wants a request for a model that no runner holds to be refused within its timeout of 1 s. The model was ordered and loaded in 0.83 to 0.85 s, and the request was served as it should be, in 3 of 4 runs with programs built for race detection.

A load at the test's runner takes 3 s, so that the model cannot be there in time. What the test demands is unchanged.

--- a/integration/gateway_trace_test.go
+++ b/integration/gateway_trace_test.go
@@ -7,11 +7,13 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"github.com/zinniaroute/zinniaroute/standin/caller"
+	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
 	"github.com/zinniaroute/zinniaroute/standin/proxy"
 )
 
@@ -19,7 +21,11 @@
 func TestTraceShowsWhyRequestFailed(t *testing.T) {
 	d := newDeployment(t)
 	d.configure(2, 1000)
-	d.addRunner("r1", modelService, "large")
+	// A load takes longer than the route's timeout, so that a request for a model that is not loaded is refused.
+	d.addRunnerWith(modelrunner.Options{
+		ID: "r1", Service: modelService, Domain: "a", MemoryMB: 200, ModelMB: 80, AdapterSlots: 2, LoadTime: 3 * time.Second,
+		StreamEvents: 5, Pause: 20 * time.Millisecond, Models: []modelrunner.Model{{Name: "large", Version: 1, Adapters: []string{}}},
+	})
 	d.addRunner("p1", plainService)
 	d.addGateway("vm-1")
 	d.addGateway("vm-2")
