--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -141,7 +141,7 @@
 	}
 	EndpointDeclined = Event{
 		506, logrus.InfoLevel, "endpoint declined request",
-		[]string{"request", "runner", "status", "unit"},
+		[]string{"request", "runner", "status", "unit", "named", "stated", "reused"},
 		"Nothing; the request is retried on another runner within its budget.",
 	}
 	RequestRejected = Event{
@@ -329,6 +329,11 @@
 		[]string{"request", "peer", "outcome", "ms", "error"},
 		"See event 528 of this VM.",
 	}
+	AnswerUnproven = Event{
+		532, logrus.WarnLevel, "answer has the status of a refusal but does not say that this request has not run, or says so with another status",
+		[]string{"request", "runner", "status", "named", "stated", "reused"},
+		"Check the runner, and whatever stands before it: the request may have run.",
+	}
 	ForwardDeclined = Event{
 		530, logrus.InfoLevel, "request that another VM forwarded was not taken; that VM asks others",
 		[]string{"request", "reason"},
@@ -388,7 +393,7 @@
 		RequestServed, RequestNotServed, LogLinesDropped, HandlerPanicked,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
 		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, OriginsNotStored, OriginUnconfirmed, RunnerLeaves, RunnerRests, VersionNotRecorded, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable, EntryIgnored, ContentReceived,
-		BrittleChanged, PathChanged, RequestForwarded, ForwardDeclined,
+		BrittleChanged, PathChanged, RequestForwarded, ForwardDeclined, AnswerUnproven,
 		OwnerChanged, LoadPermitUnavailable, RunnerReportUnreadable, RunnerReportApplied, OrderSent, MovePlanned, MoveAccepted,
 		AdapterRequested, DemandSummary,
 	}
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -189,6 +190,9 @@
 	x.recordLimit(head)
 	x.recordBrittle(head)
 	x.recordStanding(head)
+	if head.NotRun != platform.IsPromise(header.StatusCode()) || head.NotRun && !head.Named {
+		x.logUnproven(head)
+	}
 	if head.NotRun {
 		return x.handleDecline(ctx, head)
 	}
@@ -249,10 +253,22 @@
 		x.gateway.removeUnit(x.choice.Runner, x.request.Unit)
 	}
 	status := x.call.Response.StatusCode()
-	x.gateway.log.Emit(eventlog.EndpointDeclined, x.request.ID, x.choice.Runner.ID, status, x.request.Unit.String())
+	x.gateway.log.Emit(
+		eventlog.EndpointDeclined, x.request.ID, x.choice.Runner.ID, status, x.request.Unit.String(),
+		head.Named, head.Stated, x.call.Reused(),
+	)
 	return lifecycle.Declined{Misdirected: head.Misdirected}
 }
 
+// logUnproven logs an answer that may be taken for a refusal without being one.
+func (x *exchange) logUnproven(head platform.ResponseHead) {
+	answersUnproven.Add(strconv.Itoa(x.call.Response.StatusCode()), 1)
+	x.gateway.log.Emit(
+		eventlog.AnswerUnproven, x.request.ID, x.choice.Runner.ID, x.call.Response.StatusCode(), head.Named, head.Stated,
+		x.call.Reused(),
+	)
+}
+
 func (x *exchange) recordFirstByte() {
 	now := clock.Now()
 	x.firstByteLatency = now.Sub(x.sentAt)
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -100,6 +100,8 @@
 	ended      bool
 	// writeResult delivers the result of writing a long request.
 	writeResult chan error
+	// reused means that the connection has carried other calls.
+	reused bool
 	// resetAtExit means that the connection is reset if the process ends.
 	resetAtExit bool
 	// untilClose means that the body ends with the connection.
@@ -116,7 +118,7 @@
 	request *protocol.Request,
 	options Options,
 ) (*Exchange, error) {
-	conn, err := c.connect(address, options.Fresh)
+	conn, reused, err := c.connect(address, options.Fresh)
 	if err != nil {
 		return nil, &Error{Stage: StageDial, Cause: err}
 	}
@@ -141,6 +143,7 @@
 		address:     address,
 		conn:        conn,
 		stopCancel:  stopCancel,
+		reused:      reused,
 		resetAtExit: options.ResetAtExit,
 	}
 	if err := exchange.send(request, options); err != nil {
@@ -276,6 +279,9 @@
 	return err
 }
 
+// Reused reports whether the connection has carried other calls before.
+func (e *Exchange) Reused() bool { return e.reused }
+
 // EndsWithConnection reports whether the response has neither a length nor chunks, so that the end of the connection is
 // its only end.
 func (e *Exchange) EndsWithConnection() bool { return e.untilClose }
@@ -353,16 +359,21 @@
 	resetConn(e.conn)
 }
 
-func (c *Client) connect(address netip.AddrPort, fresh bool) (network.Conn, error) {
+// connect returns an idle connection, or a new one if there is none or a fresh one is required.
+func (c *Client) connect(address netip.AddrPort, fresh bool) (conn network.Conn, reused bool, err error) {
 	if !fresh {
 		for idle, ok := c.takeIdle(address); ok; idle, ok = c.takeIdle(address) {
 			if idle.usable(time.Now()) {
-				return idle.conn, nil
+				return idle.conn, true, nil
 			}
 			closeConn(idle.conn)
 		}
 	}
-	return dial(address.String(), c.dialTimeout)
+	dialed, err := dial(address.String(), c.dialTimeout)
+	if err != nil {
+		return nil, false, err
+	}
+	return dialed, false, nil
 }
 
 func (c *Client) takeIdle(address netip.AddrPort) (idleConn, bool) {
