Promise callers that a request has not run only if its runner says so

Callers saw REFUSED: they were promised that a request had not run (503, 429, 408) although it had. A caller may then send a booking again, which runs twice.

Cause: a VM believed that a request has not run without proof. It passed on a runner's status as it was, and only the header that says 'not executed' proves for the VM what the status alone promises to the caller. The VM that forwards a request passed such an answer on as well.

Such an answer now counts as lost: the request may have run. It is sent again if it may be, and otherwise answered 502 without the runner's signature, which promises nothing. True refusals go on as before. A status of a refusal that a VM of an earlier build passes on counts the same.

--- a/state/lifecycle/machine.go
+++ b/state/lifecycle/machine.go
@@ -94,7 +94,7 @@
 	case Declined:
 		return m.onDeclined(now, e)
 	case Lost:
-		return m.onLost(now)
+		return m.onLost(now, e)
 	case Truncated:
 		return m.onTruncated(now, e)
 	case Answered:
@@ -145,10 +145,13 @@
 	return Choose
 }
 
-func (m *Machine) onLost(now time.Time) Action {
+func (m *Machine) onLost(now time.Time, e Lost) Action {
 	m.runs++
 	m.exclude()
 	m.setCause(CauseAnswerLost)
+	if e.Unstated {
+		m.setCause(CauseUnstated)
+	}
 	return m.retryOrGiveUp(now)
 }
 
--- a/state/lifecycle/machine_property_test.go
+++ b/state/lifecycle/machine_property_test.go
@@ -110,7 +110,7 @@
 
 func sendEvent(t *rapid.T, i int) Event {
 	events := []Event{
-		Unreachable{}, Declined{}, Declined{Misdirected: true}, Lost{}, Answered{}, Answered{}, Answered{Failure: true},
+		Unreachable{}, Declined{}, Declined{Misdirected: true}, Lost{}, Lost{Unstated: true}, Answered{}, Answered{}, Answered{Failure: true},
 	}
 	return rapid.SampledFrom(events).Draw(t, fmt.Sprint("send", i))
 }
--- a/state/lifecycle/types.go
+++ b/state/lifecycle/types.go
@@ -26,8 +26,9 @@
 	Misdirected bool
 }
 
-// Lost means that the request was sent, but its answer did not arrive whole, and no part of it was relayed.
-type Lost struct{}
+// Lost means that the request was sent, but its answer did not arrive whole, and no part of it was relayed. Unstated means
+// that an answer arrived that reads like a refusal but does not say that the request was not executed.
+type Lost struct{ Unstated bool }
 
 // Truncated means that the answer was truncated after a part of it was relayed. Resumable means that the last relayed
 // event is known, so another endpoint can continue.
@@ -91,6 +92,7 @@
 	CauseDeclined         Cause = "endpoint declined"
 	CauseMisdirected      Cause = "endpoint holds something else"
 	CauseAnswerLost       Cause = "answer lost"
+	CauseUnstated         Cause = "refused without saying that it was not executed"
 	CauseTruncated        Cause = "answer broke off"
 	CauseEndpointFailed   Cause = "endpoint failed"
 	CauseDeadlineExceeded Cause = "out of time"
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -193,8 +193,11 @@
 	if head.NotRun != platform.IsPromise(header.StatusCode()) || head.NotRun && !head.Named {
 		x.logUnproven(head)
 	}
-	if head.NotRun {
+	switch {
+	case head.NotRun:
 		return x.handleDecline(ctx, head)
+	case platform.IsPromise(header.StatusCode()):
+		return x.handleUnstated(ctx)
 	}
 	if status := header.StatusCode(); status >= statusOK && status < statusMultipleChoices && !head.Sealed {
 		x.call.Abort()
@@ -243,6 +246,17 @@
 	return false
 }
 
+// handleUnstated ends a run whose answer has the status of a refusal. The status promises callers that the request has not run,
+// which the runner does not say.
+func (x *exchange) handleUnstated(ctx context.Context) lifecycle.Event {
+	if _, err := x.call.ReadAll(ctx, maxAnswerBytes); err != nil {
+		return x.handleCallFailure(ctx, err)
+	}
+	x.recordFirstByte()
+	x.recordOutcome(dispatch.Failed, false)
+	return lifecycle.Lost{Unstated: true}
+}
+
 func (x *exchange) handleDecline(ctx context.Context, head platform.ResponseHead) lifecycle.Event {
 	_, err := x.call.ReadAll(ctx, maxAnswerBytes)
 	if err != nil {
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -85,6 +85,10 @@
 	x.logForward(string(outcome), nil)
 	switch outcome {
 	case vm.Passed:
+		if platform.IsPromise(call.Response.StatusCode()) {
+			// VMs of earlier builds pass on refusals that do not say that the request was not executed.
+			return lifecycle.Lost{Unstated: true}
+		}
 		return lifecycle.Answered{}
 	case vm.NotTaken:
 		g.recordSlowPeer(clock.Now(), peer)
