Believe only answers that name the attempt

Callers saw TWICE and REFUSED, and answers to other requests (MIXED): a request that runs was sent to the next runner, or refused when none was left.

Cause: an answer without an attempt identifier counted as the answer to whatever was asked last on the connection. A late or second answer to another call stands where the answer to the next request is due: a 503 or 421 among them ended that request as declined while it ran, and a sealed 200 was passed on to its caller.

A call now fails if the answer does not name the attempt, or names several; the request may have run then. Answers that name another attempt are dropped, as before. Requests without an identifier are sent on connections of their own.

--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -129,9 +129,7 @@
 		send.ResumeAfter = x.relay.lastEvent
 	}
 	request := platform.NewRequest(&x.context.Request, send)
-	options := httpcall.Options{
-		Accept: func(header *protocol.ResponseHeader) bool { return platform.MatchesAttempt(header, x.request.ID) },
-	}
+	options := x.callOptions()
 	call, err := g.endpointClient.Start(ctx, x.choice.Runner.Address, request, options)
 	if err != nil {
 		return x.handleCallFailure(ctx, err)
@@ -140,6 +138,17 @@
 	return x.handleResponse(ctx)
 }
 
+// callOptions returns the options of the calls that send the request. A response to a request without an attempt can be told
+// from others only on a connection of its own.
+func (x *exchange) callOptions() httpcall.Options {
+	return httpcall.Options{
+		Fresh: x.request.ID == "",
+		Match: func(header *protocol.ResponseHeader) httpcall.Match {
+			return platform.MatchAttempt(header, x.request.ID)
+		},
+	}
+}
+
 func (x *exchange) recordSent(now time.Time) {
 	x.gateway.mu.Lock()
 	defer x.gateway.mu.Unlock()
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
 
 	"github.com/zinniaroute/zinniaroute/eventlog"
@@ -62,9 +61,7 @@
 	vm.Forward{
 		Caller: x.request.Caller, Runs: max(1, x.maxRuns-x.machine.Runs()), Configuration: x.configurationVersion,
 	}.Write(&request.Header)
-	options := httpcall.Options{
-		Accept: func(header *protocol.ResponseHeader) bool { return platform.MatchesAttempt(header, x.request.ID) },
-	}
+	options := x.callOptions()
 	peer := x.peer
 	slow := time.AfterFunc(slowPeerTime, func() { g.recordSlowPeer(clock.Now(), peer) })
 	call, err := g.peerClient.Start(ctx, g.forwardAddress(peer), request, options)
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -86,8 +86,28 @@
 	// ResetAtExit resets the connection if the process ends during the call. Otherwise the kernel goes on sending a request
 	// that a network partition holds up.
 	ResetAtExit bool
-	// Accept reports whether a response belongs to this request. Others are read and dropped. Nil accepts all.
-	Accept func(header *protocol.ResponseHeader) bool
+	// Match says to which request a response belongs. Nil means that all responses are Own.
+	Match func(header *protocol.ResponseHeader) Match
+}
+
+// Match says to which request a response belongs.
+type Match int
+
+// The matches of a response.
+const (
+	// Own means that it is the response to this request.
+	Own Match = iota
+	// Foreign means that it is the response to another request. It is read and dropped.
+	Foreign
+	// Unnamed means that it may be the response to another request. The call fails with ErrUnnamed.
+	Unnamed
+)
+
+func (o Options) match(header *protocol.ResponseHeader) Match {
+	if o.Match == nil {
+		return Own
+	}
+	return o.Match(header)
 }
 
 // Exchange is a call whose response header has arrived. It ends with Done, Abort or ReadAll.
@@ -195,8 +215,14 @@
 		if err := e.openBody(options); err != nil {
 			return err
 		}
-		if !interim && (options.Accept == nil || options.Accept(&e.Response.Header)) {
-			return nil
+		if !interim {
+			switch options.match(&e.Response.Header) {
+			case Own:
+				return nil
+			case Unnamed:
+				return &Error{Stage: StageHeader, Cause: ErrUnnamed}
+			case Foreign:
+			}
 		}
 		if err := e.skipBody(); err != nil {
 			return &Error{Stage: StageHeader, Cause: err}
--- a/transport/httpcall/client_test.go
+++ b/transport/httpcall/client_test.go
@@ -88,12 +88,36 @@
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 }
 
+// matchID matches responses by their header X-Id.
+func matchID(id string) func(header *protocol.ResponseHeader) Match {
+	return func(header *protocol.ResponseHeader) Match {
+		switch header.Get("X-Id") {
+		case id:
+			return Own
+		case "":
+			return Unnamed
+		default:
+			return Foreign
+		}
+	}
+}
+
+func TestUnnamedResponseIsTakenForTheAnswer(t *testing.T) {
+	p, address := newPeer(t)
+	p.serve(t, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+	options := Options{Match: matchID("mine")}
+	_, err := NewClient(time.Second).Start(context.Background(), address, NewRequest("GET", address, "/", nil), options)
+	assert.Assert(t, errors.Is(err, ErrUnnamed), "%v", err)
+	assert.Assert(t, WasSent(err), "a request that may have run is called not sent")
+	assert.Assert(t, !BeforeAnswer(err), "an answer counts as a loss of the path")
+}
+
 func TestResponseToAnotherRequestIsDropped(t *testing.T) {
 	p, address := newPeer(t)
 	p.serve(t, "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrongHTTP/1.1 200 OK\r\nX-Id: mine\r\n"+
 		"Content-Length: 5\r\n\r\nright")
 	client := NewClient(time.Second)
-	options := Options{Accept: func(h *protocol.ResponseHeader) bool { return h.Get("X-Id") == "mine" }}
+	options := Options{Match: matchID("mine")}
 	exchange, err := client.Start(context.Background(), address, NewRequest("GET", address, "/", nil), options)
 	assert.NilError(t, err)
 	body, err := exchange.ReadAll(context.Background(), 100)
--- a/transport/httpcall/endless_test.go
+++ b/transport/httpcall/endless_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/protocol"
 	"gotest.tools/v3/assert"
 
 	"github.com/zinniaroute/zinniaroute/transport/group"
@@ -76,7 +75,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 2*endlessTimeLimit)
 			defer cancel()
 			startedAt := time.Now()
-			options := Options{Accept: func(h *protocol.ResponseHeader) bool { return h.Get("X-Id") == "mine" }}
+			options := Options{Match: matchID("mine")}
 			exchange, err := client.Start(ctx, address, NewRequest("GET", address, "/", nil), options)
 			if err == nil {
 				_, err = exchange.ReadAll(ctx, endlessBodyLimit)
--- a/transport/httpcall/error.go
+++ b/transport/httpcall/error.go
@@ -44,5 +44,5 @@
 func BeforeAnswer(err error) bool {
 	var failed *Error
 	return errors.As(err, &failed) && failed.Stage != StageBody && !errors.Is(err, errNoResponse) &&
-		!errors.Is(err, errTooManySkipped)
+		!errors.Is(err, errTooManySkipped) && !errors.Is(err, ErrUnnamed)
 }
--- a/transport/httpcall/exchange.go
+++ b/transport/httpcall/exchange.go
@@ -20,6 +20,9 @@
 // ErrBodyTooLarge means that a response body exceeds the limit of the call.
 var ErrBodyTooLarge = errors.New("response body too large")
 
+// ErrUnnamed means that a response does not say to which request it belongs.
+var ErrUnnamed = errors.New("the response does not say to which request it belongs")
+
 // errTooManySkipped means that the endpoint sent only interim responses, or responses to other requests.
 var errTooManySkipped = errors.New("too many responses that do not belong to the request")
 
--- a/transport/httpcall/faulty_test.go
+++ b/transport/httpcall/faulty_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/protocol"
 	"gotest.tools/v3/assert"
 
 	"github.com/zinniaroute/zinniaroute/transport/group"
@@ -35,7 +34,7 @@
 			p.serve(t, test.first, test.second)
 			client := NewClient(time.Second)
 			accept := func(id string) Options {
-				return Options{Accept: func(h *protocol.ResponseHeader) bool { return h.Get("X-Id") == id }}
+				return Options{Match: matchID(id)}
 			}
 			exchange, err := client.Start(context.Background(), address, NewRequest("GET", address, "/", nil), accept("first"))
 			assert.NilError(t, err)
