Reuse a connection only if nothing has arrived on it

Callers got 502, or with the attempt's own name a wrong 503, where an endpoint had sent further bytes after an earlier answer, or had closed the connection: up to 50 ms of rest a connection was reused without a look, and after that one that waited for 200 us, which a busy machine may let pass before the read.

Bytes that wait before a request is written cannot be its answer. Each reuse now begins with a read that does not wait: only a connection with nothing to read is used.

Evidence: TestRequestIsSentOnAConnectionOnWhichBytesWait failed in its first two cases, waited without end in the third, and passes.

--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -27,11 +27,6 @@
 	// idleMargin is the time before the endpoint's Keep-Alive timeout at which an idle connection is dropped. It covers
 	// the delivery of a request that is sent at the last moment.
 	idleMargin = 500 * time.Millisecond
-	// unprobedIdleTimeout is the idle time up to which a connection is reused without a check that the endpoint has not
-	// closed it.
-	unprobedIdleTimeout = 50 * time.Millisecond
-	// probeTimeout is how long this check waits for a close by the endpoint.
-	probeTimeout = 200 * time.Microsecond
 	// concurrentBodyBytes is the body size in bytes above which the request is written while the response is read.
 	// Smaller requests fit into the TCP windows.
 	concurrentBodyBytes = 8 << 10
@@ -415,20 +410,13 @@
 }
 
 // usable reports whether an idle connection can be reused. A request on a connection that the endpoint has closed fails
-// as if the endpoint had crashed during the request.
+// as if the endpoint had crashed during the request, and bytes that wait there belong to no request.
 func (i idleConn) usable(now time.Time) bool {
-	idle := now.Sub(i.idleSince)
-	if idle >= i.idleTimeout {
+	if now.Sub(i.idleSince) >= i.idleTimeout {
 		return false
 	}
-	if idle < unprobedIdleTimeout {
-		return true
-	}
-	_ = i.conn.SetReadTimeout(probeTimeout)
-	_, err := i.conn.Peek(1)
-	_ = i.conn.SetReadTimeout(0)
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
+	c, ok := i.conn.(*connection)
+	return ok && c.quiet()
 }
 
 // idleTimeout returns the idle time up to which a connection is reused: idleMargin less than the Keep-Alive timeout of
--- a/transport/httpcall/conn.go
+++ b/transport/httpcall/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
@@ -55,6 +56,27 @@
 	return c
 }
 
+// quiet reports whether nothing has arrived on an idle connection, neither bytes nor the close. It must not be used if it reports
+// false, as a byte may have been consumed.
+func (c *connection) quiet() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok || c.Len() > 0 || c.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var read [1]byte
+		_, readErr := syscall.Read(int(fd), read[:])
+		quiet = errors.Is(readErr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
 // timedReader reads from the socket with the read timeout of the connection.
 type timedReader struct{ c *connection }
 
--- a/transport/httpcall/faulty_test.go
+++ b/transport/httpcall/faulty_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -41,12 +42,7 @@
 			_, err = exchange.ReadAll(context.Background(), 100)
 			assert.NilError(t, err)
 			p.serve(t, answer)
-			t.Cleanup(func() {
-				// The second server waits for a connection, which not every case opens.
-				if conn, err := net.Dial("tcp", address.String()); err == nil {
-					_ = conn.Close()
-				}
-			})
+			t.Cleanup(func() { releaseServer(address) })
 			exchange, err = client.Start(context.Background(), address, NewRequest("GET", address, "/", nil), accept("second"))
 			if err != nil {
 				assert.Assert(t, WasSent(err), "a request that may have run is called not sent: %v", err)
@@ -59,6 +55,13 @@
 	}
 }
 
+// releaseServer connects once, so that a server that still waits for a connection ends.
+func releaseServer(address netip.AddrPort) {
+	if conn, err := net.Dial("tcp", address.String()); err == nil {
+		_ = conn.Close()
+	}
+}
+
 // An endpoint stops in the middle of its answer's head, or of the body, and closes.
 func TestAnswerThatStopsEarlyIsTakenForAWholeOne(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 5\r\nX-Id: mine\r\n\r\n"
@@ -82,3 +85,50 @@
 		assert.NilError(t, g.Stop())
 	}
 }
+
+// An endpoint sends further bytes, or closes the connection, when the answer has been read.
+func TestRequestIsSentOnAConnectionOnWhichBytesWait(t *testing.T) {
+	const first, second = "HTTP/1.1 200 OK\r\nX-Id: first\r\nContent-Length: 5\r\n\r\nright", "HTTP/1.1 200 OK\r\nX-Id: second\r\nContent-Length: 5\r\n\r\nright"
+	tests := []struct{ name, late string }{
+		{"refusal without a name", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"},
+		{"refusal of the next request", "HTTP/1.1 503 Service Unavailable\r\nX-Id: second\r\nContent-Length: 0\r\n\r\n"},
+		{"one byte", "x"},
+		{"close", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p, address := newPeer(t)
+			g, err := group.New(t.Context())
+			assert.NilError(t, err)
+			wrote := make(chan struct{})
+			g.Run("serve", func(context.Context) {
+				conn := <-p.conns
+				readHead(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, first)
+				time.Sleep(time.Millisecond)
+				_, _ = io.WriteString(conn, test.late)
+				if test.late == "" {
+					_ = conn.Close()
+				}
+				close(wrote)
+			})
+			client := NewClient(time.Second)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			exchange, err := client.Start(ctx, address, NewRequest("GET", address, "/", nil), Options{Match: matchID("first")})
+			assert.NilError(t, err)
+			_, err = exchange.ReadAll(ctx, 100)
+			assert.NilError(t, err)
+			<-wrote
+			time.Sleep(5 * time.Millisecond)
+			p.serve(t, second)
+			t.Cleanup(func() { releaseServer(address) })
+			exchange, err = client.Start(ctx, address, NewRequest("GET", address, "/", nil), Options{Match: matchID("second")})
+			assert.NilError(t, err)
+			assert.Equal(t, exchange.Response.StatusCode(), 200)
+			_, err = exchange.ReadAll(ctx, 100)
+			assert.NilError(t, err)
+			assert.NilError(t, g.Stop())
+		})
+	}
+}
