Send requests of callers on other connections than orders and reports

Callers got 502 from sound runners, and an order could count as carried out that was not: a late or second answer to an order or a report, which names no attempt, stood where the answer to a request was due, and the other way round.

Cause: one pool of connections served requests, orders, reports and checks.

--- a/integration/gateway_forms_test.go
+++ b/integration/gateway_forms_test.go
@@ -94,6 +94,8 @@
 }
 
 const (
+	// adapterPlaceholder stands for an adapter that changes from request to request.
+	adapterPlaceholder = "ADAPTER"
 	// foreignBody is the body of answers that belong to no request.
 	foreignBody = "foreign"
 	// formEvery is the number of answers of which one is odd, and formCallers and formRequests are the number of callers and of
@@ -193,7 +195,9 @@
 type formCheck struct {
 	*deployment
 	processes []processRunner
-	mu        sync.Mutex
+	// requests is the number of requests that each caller sends for a form.
+	requests int
+	mu       sync.Mutex
 	// statuses holds the status that the caller of an attempt got.
 	statuses map[string]int
 	foreign  int
@@ -202,7 +206,7 @@
 // newFormCheck starts runners, of which one for each service is a process of its own.
 func newFormCheck(t *testing.T) *formCheck {
 	t.Helper()
-	c := &formCheck{deployment: newDeployment(t), statuses: make(map[string]int)}
+	c := &formCheck{deployment: newDeployment(t), requests: formRequests, statuses: make(map[string]int)}
 	c.addFormRunners()
 	c.processes = append(c.processes,
 		c.addRunnerProcess("r-process", modelService, "large", "small"), c.addRunnerProcess("p-process", plainService))
@@ -215,7 +219,7 @@
 // requests.
 func newForwardedFormCheck(t *testing.T) *formCheck {
 	t.Helper()
-	c := &formCheck{deployment: newDeployment(t), statuses: make(map[string]int)}
+	c := &formCheck{deployment: newDeployment(t), requests: formRequests, statuses: make(map[string]int)}
 	c.addFormRunners()
 	vms := []string{"vm-1", "vm-2", "vm-3"}
 	for _, name := range vms {
@@ -257,14 +261,16 @@
 // many got an answer that is not theirs.
 func (c *formCheck) play(gateway string, form modelrunner.Form, path, model string) (twice, refused, foreign int) {
 	c.t.Helper()
-	form.Every = formEvery
+	if form.Every = formEvery; form.Control {
+		form.Every = 1
+	}
 	c.setForm(form)
 	c.statuses, c.foreign = make(map[string]int), 0
 	var calls sync.WaitGroup
 	for range formCallers {
 		calls.Go(func() {
-			for range formRequests {
-				c.send(gateway, path, model)
+			for i := range c.requests {
+				c.send(gateway, path, strings.ReplaceAll(model, adapterPlaceholder, fmt.Sprint("a", 1+i%9)))
 			}
 		})
 	}
@@ -340,3 +346,37 @@
 
 // A runner answers with the header in which VMs tell each other how a forwarded request ended.
 func TestRunnerSpeaksForTheVMThatForwards(t *testing.T) { checkForms(t, outcomeForms()) }
+
+// A runner answers reports and orders once more, late, or with other statuses. Reports and orders name no attempt.
+func TestLateAnswerToAnOrderEndsARequestOrRunsTheOrderAgain(t *testing.T) {
+	t.Parallel()
+	c := newFormCheck(t)
+	c.requests = 5
+	var forms []oddForm
+	for _, status := range []int{409, 503} {
+		forms = append(forms, oddForm{
+			fmt.Sprint(status, " for each order and report, also those that were carried out"),
+			modelrunner.Form{Control: true, Status: status},
+		})
+	}
+	for _, status := range []int{200, 503} {
+		for _, delay := range []time.Duration{0, time.Millisecond} {
+			forms = append(forms, oddForm{
+				fmt.Sprint("each order and report, and ", delay, " later ", status),
+				modelrunner.Form{Control: true, Extra: refusalBytes(status), Delay: document.NewDuration(delay)},
+			})
+		}
+	}
+	for _, f := range forms {
+		twice, refused, foreign := c.play("vm-1", f.form, modelPath, "large/"+adapterPlaceholder)
+		assert.Check(t, twice+refused+foreign == 0, "%s: %d ran twice, %d refused, %d foreign", f.name, twice, refused, foreign)
+		for attempt, status := range c.statuses {
+			assert.Check(t, status != http.StatusBadGateway, "%s: %s got 502 from a sound runner", f.name, attempt)
+		}
+	}
+	for id, runner := range c.runners {
+		t.Log(id, runner.OddAnswers(), "odd answers to", len(runner.Orders()), "orders and to reports")
+		assert.Check(t, !runner.Overcommitted(), id)
+		c.checkOrders(runner.Orders())
+	}
+}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -380,13 +380,13 @@
 
 // checkOrders checks that fencing numbers never fall, and that at least 3 s pass between orders of two VMs to one
 // runner.
-func (s *soak) checkOrders(orders []modelrunner.Order) {
+func (d *deployment) checkOrders(orders []modelrunner.Order) {
 	for i := 1; i < len(orders); i++ {
 		before, order := orders[i-1], orders[i]
-		assert.Check(s.t, order.Fence >= before.Fence, "fencing number %d after %d", order.Fence, before.Fence)
+		assert.Check(d.t, order.Fence >= before.Fence, "fencing number %d after %d", order.Fence, before.Fence)
 		if order.Holder != before.Holder {
 			pause := order.At.Sub(before.At)
-			assert.Check(s.t, pause >= 3*time.Second, "%s ordered the runner %v after %s", order.Holder, pause, before.Holder)
+			assert.Check(d.t, pause >= 3*time.Second, "%s ordered the runner %v after %s", order.Holder, pause, before.Holder)
 		}
 	}
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -56,8 +56,8 @@
 	metrics       *metrics
 	startedAt     time.Time
 	lastRenewedAt time.Time
-	// endpointClient sends the callers' requests to endpoints. runnerClient uses it to read the reports of model runners
-	// and to send orders to them.
+	// endpointClient sends the callers' requests to endpoints. runnerClient reads the reports of model runners and sends orders to
+	// them, on connections of its own.
 	endpointClient *httpcall.Client
 	runnerClient   *platform.RunnerClient
 	// peerClient forwards callers' requests to other VMs.
@@ -167,13 +167,12 @@
 
 // New returns a gateway that does not serve before Start.
 func New(now time.Time, s settings.Gateway, log *eventlog.Log) *Gateway {
-	endpointClient := httpcall.NewClient(endpointDialTimeout)
 	incarnation := uuid.NewString()
 	g := &Gateway{
 		settings:         s,
 		log:              log,
-		endpointClient:   endpointClient,
-		runnerClient:     platform.NewRunnerClient(endpointClient),
+		endpointClient:   httpcall.NewClient(endpointDialTimeout),
+		runnerClient:     platform.NewRunnerClient(httpcall.NewClient(endpointDialTimeout)),
 		peerClient:       httpcall.NewClient(peerDialTimeout),
 		pathChecked:      make(chan struct{}),
 		eventBudget:      newEventBudget(),
