Take the outcome of a forwarded request only from the VM that forwards it

Callers of a VM that other VMs send for saw TWICE and REFUSED: a request that a runner had run was sent by the next VM too, or refused, if the runner's answer had the header in which VMs tell each other how a forwarded request ended.

Cause: a VM passes on all headers of a runner, and the VM before it took that one for the other VM's word. The same name in a caller's request could have stood beside the values that a VM sets.

A VM now removes these headers from answers of runners and from requests of callers before it sets its own. An outcome in an answer with a runner's signature, as a VM of an earlier build passes it on, counts as lost, as does a success without it.

--- a/protocol/vm/forward.go
+++ b/protocol/vm/forward.go
@@ -28,6 +28,7 @@
 
 // Write adds the description to the headers of the request.
 func (f Forward) Write(header *protocol.RequestHeader) {
+	removeForward(header)
 	header.Set(headerForwardCaller, f.Caller.String())
 	header.Set(headerForwardRuns, strconv.Itoa(f.Runs))
 	header.Set(headerForwardConfiguration, strconv.FormatUint(f.Configuration, 10))
@@ -46,10 +47,15 @@
 	}
 	// An unknown caller is written as "invalid IP".
 	f.Caller, _ = netip.ParseAddr(header.Get(headerForwardCaller))
+	removeForward(header)
+	return f, nil
+}
+
+// removeForward removes the description, also one that the caller has sent.
+func removeForward(header *protocol.RequestHeader) {
 	for _, name := range []string{headerForwardCaller, headerForwardRuns, headerForwardConfiguration} {
 		header.Del(name)
 	}
-	return f, nil
 }
 
 // Outcome says how a VM ended a request that was forwarded to it, if it does not pass on an answer of a runner.
@@ -74,6 +80,12 @@
 	header.Set(headerForwardRuns, strconv.Itoa(runs))
 }
 
+// RemoveOutcome removes the outcome from the headers of an answer, which only the VM that gives the answer may set.
+func RemoveOutcome(header *protocol.ResponseHeader) {
+	header.Del(headerForwardOutcome)
+	header.Del(headerForwardRuns)
+}
+
 // ReadOutcome returns the outcome of a forwarded request, and the number of attempts that may have run if it is Failed.
 func ReadOutcome(header *protocol.ResponseHeader) (Outcome, int) {
 	runs, err := strconv.Atoi(header.Get(headerForwardRuns))
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -328,14 +328,20 @@
 	if x.route.Kind == routes.Stream && x.call.Response.StatusCode() == statusOK {
 		return x.relayEvents(ctx)
 	}
-	platform.CopyHead(&x.call.Response.Header, &response.Header)
+	x.copyHead()
 	response.SetBodyRaw(x.body)
 	return lifecycle.Completed{}
 }
 
+// copyHead copies the head of a runner's answer to the one for the caller. A runner does not speak for the VM that forwards.
+func (x *exchange) copyHead() {
+	platform.CopyHead(&x.call.Response.Header, &x.context.Response.Header)
+	vm.RemoveOutcome(&x.context.Response.Header)
+}
+
 // openRelay begins the answer to the caller with the head of a stream.
 func (x *exchange) openRelay() {
-	platform.CopyHead(&x.call.Response.Header, &x.context.Response.Header)
+	x.copyHead()
 	after := ""
 	if x.resumption {
 		after = x.request.Resumption.After
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
 
 	"github.com/zinniaroute/zinniaroute/eventlog"
@@ -71,33 +72,65 @@
 	}
 	x.call = call
 	x.firstByteLatency = clock.Now().Sub(now)
-	outcome, runs := vm.ReadOutcome(&call.Response.Header)
-	if outcome == vm.Passed && x.route.Kind == routes.Stream && call.Response.StatusCode() == statusOK {
+	answer := readForwardedAnswer(&call.Response.Header)
+	if answer.outcome == vm.Passed && x.route.Kind == routes.Stream && answer.status == statusOK {
+		if !answer.sealed {
+			call.Abort()
+			return x.handleForwardFailure(ctx, errUnsealed)
+		}
 		x.logForward("stream", nil)
 		return lifecycle.Answered{}
 	}
 	if x.body, err = call.ReadAll(ctx, maxAnswerBytes); err != nil {
 		return x.handleForwardFailure(ctx, err)
 	}
-	x.logForward(string(outcome), nil)
-	switch outcome {
-	case vm.Passed:
-		if platform.IsPromise(call.Response.StatusCode()) {
-			// VMs of earlier builds pass on refusals that do not say that the request was not executed.
-			return lifecycle.Lost{Unstated: true}
+	x.logForward(string(answer.outcome), nil)
+	event := answer.event(peer)
+	switch event.(type) {
+	case lifecycle.Unreachable:
+		g.recordSlowPeer(clock.Now(), peer)
+	case lifecycle.Lost:
+		for range min(answer.runs, x.maxRuns) - 1 {
+			x.machine.RecordRun()
 		}
+	}
+	return event
+}
+
+// forwardedAnswer is the head of the answer of a VM to which a request was forwarded.
+type forwardedAnswer struct {
+	status     int
+	sealed     bool
+	outcome    vm.Outcome
+	runs       int
+	retryAfter time.Duration
+}
+
+func readForwardedAnswer(header *protocol.ResponseHeader) forwardedAnswer {
+	a := forwardedAnswer{
+		status: header.StatusCode(), sealed: platform.ReadResponseHead(header).Sealed, retryAfter: platform.RetryAfter(header),
+	}
+	a.outcome, a.runs = vm.ReadOutcome(header)
+	return a
+}
+
+// event returns what the whole answer of a VM means for the request.
+func (a forwardedAnswer) event(peer string) lifecycle.Event {
+	isSuccess := a.status >= statusOK && a.status < statusMultipleChoices
+	switch {
+	case a.outcome == vm.Passed && platform.IsPromise(a.status):
+		// VMs of earlier builds pass on refusals that do not say that the request was not executed.
+		return lifecycle.Lost{Unstated: true}
+	case a.outcome == vm.Passed && isSuccess && !a.sealed, a.outcome != vm.Passed && a.sealed:
+		// The answer of a runner is sealed and the word of a VM is not. VMs of earlier builds pass on outcomes that runners name.
+		return lifecycle.Lost{}
+	case a.outcome == vm.Passed:
 		return lifecycle.Answered{}
-	case vm.NotTaken:
-		g.recordSlowPeer(clock.Now(), peer)
+	case a.outcome == vm.NotTaken:
 		return lifecycle.Unreachable{}
-	case vm.Refused:
-		return lifecycle.NoEndpoint{
-			Reason: "refused by " + peer + ", which forwards it", RetryAfter: platform.RetryAfter(&call.Response.Header),
-		}
+	case a.outcome == vm.Refused:
+		return lifecycle.NoEndpoint{Reason: "refused by " + peer + ", which forwards it", RetryAfter: a.retryAfter}
 	default:
-		for range runs - 1 {
-			x.machine.RecordRun()
-		}
 		return lifecycle.Lost{}
 	}
 }
@@ -127,7 +160,7 @@
 // relayForwarded sends the answer that another VM has passed on to the caller.
 func (x *exchange) relayForwarded(ctx context.Context) lifecycle.Event {
 	if x.route.Kind != routes.Stream || x.call.Response.StatusCode() != statusOK {
-		platform.CopyHead(&x.call.Response.Header, &x.context.Response.Header)
+		x.copyHead()
 		x.context.Response.SetBodyRaw(x.body)
 		return lifecycle.Completed{}
 	}
