Report a request as not run only if the engine says why

Callers of the own interface saw 'notRun', and 503, for requests that an engine had run: any 404, 429 or 503 of an engine counted as a refusal, whatever its body, and every other status below 500 as a rejection of an invalid request. A status alone may come from what stands before the engine.

A refusal now needs the error code of one (404 model_not_found, 429 overloaded, 503 overloaded or leaving), and a rejection a status of invalid requests with an error that the engine describes. Other answers count as failures of the engine: the request may have run, is sent again within its limits, and ends with 502 and the outcome 'unknown'.

TestOutcomeAccountsForEveryEndpointTried took a 503 and a 400 with an empty JSON object for proofs; its answers now carry the errors that engines send, its expectations are the same, and a case without them is added.

--- a/protocol/openai/error.go
+++ b/protocol/openai/error.go
@@ -1,5 +1,7 @@
 package openai
 
+import "net/http"
+
 // Error types of the API.
 const (
 	TypeInvalidRequest = "invalid_request_error"
@@ -26,6 +28,32 @@
 	RetryAfterMs int64  `json:"retryAfterMs,omitempty"`
 }
 
+// Declines reports whether an engine that answers a request with this error and a status has not run it, and another engine may.
+func (e Error) Declines(status int) bool {
+	switch status {
+	case http.StatusNotFound:
+		return e.Code == CodeModelNotFound
+	case http.StatusTooManyRequests:
+		return e.Code == CodeOverloaded
+	case http.StatusServiceUnavailable:
+		return e.Code == CodeOverloaded || e.Code == CodeLeaving
+	default:
+		return false
+	}
+}
+
+// Rejects reports whether an engine that answers a request with this error and a status has not run it, because the request is
+// invalid.
+func (e Error) Rejects(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound, http.StatusRequestEntityTooLarge,
+		http.StatusUnprocessableEntity:
+		return e.Message != ""
+	default:
+		return false
+	}
+}
+
 // Error codes of the API.
 const (
 	CodeModelNotFound = "model_not_found"
--- a/standin/engine/complete.go
+++ b/standin/engine/complete.go
@@ -38,6 +38,9 @@
 	}
 	defer func() { <-s.slots }()
 	s.started.Add(1)
+	if s.answerInForm(c) {
+		return
+	}
 	run := newRun(s, c, request, chat)
 	if request.Stream {
 		run.stream(ctx)
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -97,6 +97,7 @@
 	tokens      atomic.Int64
 	crashes     atomic.Int64
 	leaving     atomic.Bool
+	form        atomic.Pointer[Form]
 }
 
 // NewServer returns an engine with nothing loaded.
@@ -123,6 +124,7 @@
 	server.POST(openai.CompletionsPath, func(ctx context.Context, c *app.RequestContext) { s.complete(ctx, c, false) })
 	server.GET(StatePath, s.state)
 	server.PUT("/standin/leaving", func(context.Context, *app.RequestContext) { s.leaving.Store(true) })
+	server.PUT(FormPath, s.setForm)
 	server.PUT(fault.Path, func(context.Context, *app.RequestContext) {})
 	server.Start(g, "engine stand-in")
 }
--- a/transport/entry/drive_test.go
+++ b/transport/entry/drive_test.go
@@ -24,10 +24,13 @@
 )
 
 const (
-	answer503 = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
-	answer400 = "HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
-	answer500 = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
-	header200 = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n"
+	answer503 = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nContent-Length: 48\r\n\r\n" +
+		`{"error":{"message":"full","code":"overloaded"}}`
+	answer400 = "HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nContent-Length: 28\r\n\r\n" +
+		`{"error":{"message":"bad "}}`
+	unstated503 = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+	answer500   = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+	header200   = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n"
 )
 
 // script holds the answers of a test's endpoints in the order of the requests. An empty answer resets the connection.
@@ -116,6 +119,7 @@
 		{"lost, then rejected as invalid", "/v1/completions", []string{"", answer400}, 400, caller.Unknown},
 		{"rejected as invalid", "/v1/completions", []string{answer400}, 400, caller.NotRun},
 		{"failed, then declined by the rest", "/v1/completions", []string{answer500, answer503, answer503}, 502, caller.Unknown},
+		{"answered 503 without a reason", "/v1/completions", []string{unstated503, answer503, answer503}, 502, caller.Unknown},
 		{"failed, then answered", "/v1/completions", []string{answer500, header200 + "{}"}, 200, caller.Complete},
 		{"lost, then answered", "/v1/completions", []string{"", header200 + "{}"}, 200, caller.Complete},
 		{"truncated, then answered", "/v1/completions", []string{header200 + "{", header200 + "{}"}, 200, caller.Complete},
--- a/transport/entry/run.go
+++ b/transport/entry/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -246,8 +247,9 @@
 	return f
 }
 
-// handleErrorStatus handles an answer with an error status: the endpoint declined the request, failed, or rejected it
-// as invalid.
+// handleErrorStatus handles an answer with an error status: the engine declined the request, rejected it as invalid, or failed.
+// Only an error that the engine itself describes shows that the request has not run: a status alone may come from what stands
+// before the engine.
 func (m *modelRun) handleErrorStatus(ctx context.Context, status int) lifecycle.Event {
 	name := m.endpoint.name
 	body, err := m.call.ReadAll(ctx, maxAnswerBytes)
@@ -255,27 +257,18 @@
 		body = nil
 	}
 	var answer openai.ErrorResponse
-	_ = json.Unmarshal(body, &answer)
+	if err := json.Unmarshal(body, &answer); err != nil {
+		answer = openai.ErrorResponse{}
+	}
 	switch {
-	case status == statusNotFound, status == statusTooMany, status == statusUnavailable:
+	case answer.Error.Declines(status):
 		draining := answer.Error.Code == openai.CodeLeaving
 		if status != statusTooMany {
 			m.entry.table.recordDeclined(name, m.request.target, draining)
 		}
 		m.lastFailure = unavailable(openai.CodeOverloaded, "endpoint "+name+": "+answer.Error.Message, defaultRetryAfter)
 		return lifecycle.Declined{}
-	case status >= statusServerError:
-		m.lastFailure = &failure{
-			status:     statusBadGateway,
-			errorType:  openai.TypeServer,
-			code:       codeAnswerBroken,
-			message:    "endpoint " + name + " failed: " + answer.Error.Message,
-			outcome:    caller.Unknown,
-			retryAfter: defaultRetryAfter,
-		}
-		m.relayedFailure = m.lastFailure
-		return lifecycle.Answered{Failure: true}
-	default:
+	case answer.Error.Rejects(status):
 		m.relayedFailure = &failure{
 			status:    status,
 			errorType: answer.Error.Type,
@@ -288,6 +281,17 @@
 			m.relayedFailure.outcome = caller.Unknown
 		}
 		return lifecycle.Answered{}
+	default:
+		m.lastFailure = &failure{
+			status:     statusBadGateway,
+			errorType:  openai.TypeServer,
+			code:       codeAnswerBroken,
+			message:    fmt.Sprintf("endpoint %s failed with status %d: %s", name, status, answer.Error.Message),
+			outcome:    caller.Unknown,
+			retryAfter: defaultRetryAfter,
+		}
+		m.relayedFailure = m.lastFailure
+		return lifecycle.Answered{Failure: true}
 	}
 }
 
