Give a caller that has left no answer of the HTTP library

A caller that closes its side of the connection after its request and reads on got 404 from the HTTP library, although its request was under way at a runner. A gateway takes the close for the end of the caller, and cancels the request; the library then sent the status that it presets for paths without a handler.

The connection is now closed without an answer, which promises nothing.

--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -49,6 +49,8 @@
 	forwarded bool
 	// peer is the VM to which the request is forwarded, or "".
 	peer string
+	// callerLeft reports that the caller has closed the connection, or its side of it.
+	callerLeft bool
 	// unreachable reports that the request found an endpoint unreachable.
 	unreachable bool
 
@@ -76,13 +78,17 @@
 // arrived or the caller is known to have left.
 func (x *exchange) ReplaceEvent(ctx context.Context, event lifecycle.Event) lifecycle.Event {
 	switch event.(type) {
-	case lifecycle.Answered, lifecycle.Completed, lifecycle.CallerLeft:
+	case lifecycle.Answered, lifecycle.Completed:
+		return event
+	case lifecycle.CallerLeft:
+		x.callerLeft = true
 		return event
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return lifecycle.Expired{}
 	case ctx.Err() != nil:
+		x.callerLeft = true
 		return lifecycle.CallerLeft{}
 	default:
 		return event
@@ -385,6 +391,13 @@
 	return x.sentAt.Sub(x.request.ArrivedAt)
 }
 
+// closeCaller closes the connection to the caller without an answer, or within one.
+func (x *exchange) closeCaller() {
+	if err := x.context.GetConn().Close(); err != nil && !errors.Is(err, io.EOF) {
+		x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, "caller", true, err)
+	}
+}
+
 // finish performs the machine's final action, and logs and counts the request.
 func (x *exchange) finish(ctx context.Context, action lifecycle.Action) {
 	g := x.gateway
@@ -405,11 +418,13 @@
 		g.writeStatus(x.context, x.request.ID, status, 0)
 		x.writeOutcome(vm.Failed)
 	case lifecycle.Abort:
-		if err := x.context.GetConn().Close(); err != nil && !errors.Is(err, io.EOF) {
-			g.log.Emit(eventlog.EndpointFailed, x.request.ID, "caller", true, err)
-		}
+		x.closeCaller()
 	default:
 		status = x.context.Response.StatusCode()
+		if x.callerLeft {
+			// The HTTP library would send an answer of its own to a caller that still reads.
+			x.closeCaller()
+		}
 	}
 	now := clock.Now()
 	event := eventlog.RequestNotServed
