Let the runners of the soak answer in forms that look like refusals

Single runners now answer in these forms for a while, one of them is a process of its own that is paused at times, the checks cover all statuses that promise that a request has not run, and answers that belong to no request; -soak.vms sets the number of VMs.

--- a/cli/standin.go
+++ b/cli/standin.go
@@ -83,7 +83,7 @@
 	return nil
 }
 
-// startRunner starts a runner that prints the attempt of each request that it runs.
+// startRunner starts a runner that prints the attempt and the path of each request that it runs.
 func (c *standinCommand) startRunner(g *group.Group, listener net.Listener) error {
 	address, err := netip.ParseAddrPort(c.Listen)
 	if err != nil {
@@ -91,7 +91,7 @@
 	}
 	options := modelrunner.DefaultOptions(c.Name, c.Service)
 	options.Address = address
-	options.Started = func(run modelrunner.Run) { _, _ = fmt.Fprintln(c.out, modelrunner.RunPrefix+run.Attempt) }
+	options.Started = func(run modelrunner.Run) { _, _ = fmt.Fprintln(c.out, modelrunner.RunPrefix+run.Attempt, run.Path) }
 	for _, name := range c.Models {
 		options.Models = append(options.Models, modelrunner.Model{Name: name, Version: 1, Adapters: []string{}})
 	}
--- a/integration/gateway_forms_test.go
+++ b/integration/gateway_forms_test.go
@@ -25,7 +25,7 @@
 
 // processRunner is a runner that is a process of its own.
 type processRunner struct {
-	name    string
+	*process
 	address netip.AddrPort
 }
 
@@ -37,7 +37,7 @@
 	for _, name := range models {
 		arguments = append(arguments, "--model", name)
 	}
-	d.startProcess(id, arguments...)
+	started := d.startProcess(id, arguments...)
 	d.waitListening(address)
 	d.group.Run("heartbeat", func(ctx context.Context) {
 		client := &http.Client{Timeout: time.Second}
@@ -53,7 +53,7 @@
 			}
 		})
 	})
-	return processRunner{name: id, address: address}
+	return processRunner{process: started, address: address}
 }
 
 func (p processRunner) setForm(t *testing.T, form modelrunner.Form) {
@@ -67,20 +67,24 @@
 	assert.NilError(t, response.Body.Close())
 }
 
-// runsByAttempt returns how often each attempt ran on any runner.
-func (d *deployment) runsByAttempt() map[string]int {
-	runs := make(map[string]int)
+// run is a request that a runner has run.
+type run struct{ attempt, path string }
+
+// allRuns returns the requests that ran on any runner, also on those that are processes of their own.
+func (d *deployment) allRuns() []run {
+	var runs []run
 	for _, runner := range d.runners {
-		for _, run := range runner.Runs() {
-			runs[run.Attempt]++
+		for _, r := range runner.Runs() {
+			runs = append(runs, run{attempt: r.Attempt, path: r.Path})
 		}
 	}
 	for name := range d.processes {
 		log, err := readLog(d.directory, name)
 		assert.NilError(d.t, err)
 		for line := range strings.Lines(log) {
-			if attempt, ok := strings.CutPrefix(strings.TrimSpace(line), modelrunner.RunPrefix); ok {
-				runs[attempt]++
+			if text, ok := strings.CutPrefix(strings.TrimSpace(line), modelrunner.RunPrefix); ok {
+				attempt, path, _ := strings.Cut(text, " ")
+				runs = append(runs, run{attempt: attempt, path: path})
 			}
 		}
 	}
@@ -147,8 +151,8 @@
 // contradictoryForms returns answers that say that the request was not executed, with a status that no refusal has.
 func contradictoryForms() []oddForm {
 	return []oddForm{
-		{"200 that says it was not executed: 0", modelrunner.Form{Status: 200, Header: map[string]string{notRunHeader: "0"}}},
-		{"200 that says it was not executed: 1", modelrunner.Form{Status: 200, Header: map[string]string{notRunHeader: "1"}}},
+		{"200 that says it was not executed: 0", modelrunner.Form{Header: map[string]string{notRunHeader: "0"}}},
+		{"200 that says it was not executed: 1", modelrunner.Form{Header: map[string]string{notRunHeader: "1"}}},
 		{"500 that says it was not executed: 0", modelrunner.Form{Status: 500, Header: map[string]string{notRunHeader: "0"}}},
 		{"504 that says it was not executed: 1", modelrunner.Form{Status: 504, Header: map[string]string{notRunHeader: "1"}}},
 	}
@@ -185,7 +189,7 @@
 	for _, outcome := range []string{"notTaken", "refused", "failed"} {
 		forms = append(forms, oddForm{
 			"200 with the outcome " + outcome,
-			modelrunner.Form{Status: 200, Header: map[string]string{outcomeHeader: outcome}},
+			modelrunner.Form{Header: map[string]string{outcomeHeader: outcome}},
 		})
 	}
 	return forms
@@ -278,7 +282,10 @@
 	c.setForm(modelrunner.Form{})
 	// Extra bytes may be on their way still.
 	group.Sleep(c.t.Context(), form.Delay.Duration+10*time.Millisecond)
-	runs := c.runsByAttempt()
+	runs := make(map[string]int)
+	for _, r := range c.allRuns() {
+		runs[r.attempt]++
+	}
 	for attempt, status := range c.statuses {
 		if runs[attempt] > 1 {
 			twice++
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -29,6 +29,7 @@
 	soakSeed         = flag.Uint64("soak.seed", 1, "first seed of the fault soak")
 	soakSeeds        = flag.Int("soak.seeds", 1, "number of seeds of the fault soak")
 	soakSkippedPorts = flag.Int("soak.ports", 0, "number of ports to skip, so that several soaks can run side by side")
+	soakVMs          = flag.Int("soak.vms", 3, "number of VMs of the fault soak; each has three callers")
 	soakDuration     = flag.Duration("soak.time", 12*time.Second, "duration of the faults for each seed")
 	soakBefore       = flag.String("soak.before", "", "program of an earlier build, which every other gateway runs from each start on")
 )
@@ -62,7 +63,7 @@
 // killed, stopped, paused and restarted; the store is down or slow, loses responses, or returns from an older copy; links are cut, frozen or slow; gateways are cut off
 // from all runners;
 // runners truncate streams, fail requests, crash on one of them, name limits, leave, rest, are brittle, and start again with another
-// version of their software;
+// version of their software, answer in forms that look like refusals or like the answers to other requests, and are paused;
 // configurations change.
 func TestSoak(t *testing.T) {
 	portsTaken.Add(int32(*soakSkippedPorts))
@@ -92,14 +93,17 @@
 	for _, id := range []string{"p1", "p2", "p3"} {
 		s.addRunner(id, plainService)
 	}
-	vms := []string{"vm-1", "vm-2", "vm-3"}
-	for _, vm := range vms {
-		s.addGateway(vm)
+	process := s.addRunnerProcess("p-process", plainService)
+	var vms []string
+	for i := range *soakVMs {
+		vms = append(vms, fmt.Sprint("vm-", i+1))
+		s.addGateway(vms[i])
 	}
 	s.waitServing("vm-1")
 	ctx, cancel := context.WithCancel(context.Background())
+	faultsContext, stopFaults := context.WithCancel(ctx)
 	var callers sync.WaitGroup
-	for i := range 9 {
+	for i := range 3 * len(vms) {
 		callers.Go(func() { s.sendRequests(ctx, vms[i%len(vms)], rand.New(rand.NewPCG(seed, uint64(i+1)))) })
 	}
 	callers.Go(func() { s.sendCrashingRequests(ctx, vms, rand.New(rand.NewPCG(seed, 0))) })
@@ -110,8 +114,8 @@
 	callers.Go(func() { s.takeUpStreams(ctx, vms, rand.New(rand.NewPCG(seed, 6<<32))) })
 	callers.Go(func() { s.nameLimits(ctx, rand.New(rand.NewPCG(seed, 4<<32))) })
 	callers.Go(func() { s.makeBrittle(ctx, rand.New(rand.NewPCG(seed, 10<<32))) })
+	callers.Go(func() { s.answerInForms(faultsContext, process, rand.New(rand.NewPCG(seed, 11<<32))) })
 	callers.Go(func() { s.departRunners(ctx, rand.New(rand.NewPCG(seed, 8<<32))) })
-	faultsContext, stopPartitions := context.WithCancel(ctx)
 	var partitions sync.WaitGroup
 	partitions.Go(func() { s.partitionAtTimes(faultsContext, vms, rand.New(rand.NewPCG(seed, 9<<32))) })
 	returns, kills := rand.New(rand.NewPCG(seed, 1<<32)), rand.New(rand.NewPCG(seed, 7<<32))
@@ -128,7 +132,7 @@
 		}
 		group.Sleep(ctx, time.Duration(100+s.random.IntN(900))*time.Millisecond)
 	}
-	stopPartitions()
+	stopFaults()
 	partitions.Wait()
 	s.endFaults(vms)
 	for _, vm := range vms {
@@ -329,7 +333,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case r.status == 503 || r.status == 429:
+	case strings.Contains(r.body, foreignBody):
+		s.violations = append(s.violations, attempt+" got an answer to another request")
+	case isPromise(r.status):
 		s.rejected[attempt] = true
 	case r.status != 200 || err != nil:
 	case r.seal == "":
@@ -353,11 +359,11 @@
 	for _, runner := range s.runners {
 		assert.Check(s.t, !runner.Overcommitted())
 		s.checkOrders(runner.Orders())
-		for _, run := range runner.Runs() {
-			assert.Check(s.t, !s.rejected[run.Attempt], "%s was rejected but ran", run.Attempt)
-			if run.Path == unsafePath || run.Path == modelPath {
-				runs[run.Attempt]++
-			}
+	}
+	for _, r := range s.allRuns() {
+		assert.Check(s.t, !s.rejected[r.attempt], "%s was rejected but ran", r.attempt)
+		if r.path == unsafePath || r.path == modelPath {
+			runs[r.attempt]++
 		}
 	}
 	for attempt, count := range runs {
