Send each request of the own interface on a connection of its own

Callers of the own interface got the answer to another request, where an endpoint sent an earlier answer once more on a connection that was used again. A refusal among them would have ended a request that runs as not run.

Cause: engines and plain services name no request in their answers, and requests to models and idempotent calls of services shared connections. They now have one each, like calls that may run once, and such a connection is closed after the call instead of staying in the pool, also that of an order.

Evidence: TestLateAnswerIsTakenForTheNextOne failed for a model and an idempotent call, and passes.

--- a/transport/entry/drive_test.go
+++ b/transport/entry/drive_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"path"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -44,14 +46,18 @@
 	return s
 }
 
-func (s *script) listen(t *testing.T, g *group.Group) netip.AddrPort {
+// listenWith passes each connection to a function.
+func listenWith(t *testing.T, g *group.Group, serve func(t *testing.T, conn net.Conn)) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.Check(t, listener.Close()) })
 	g.Run("endpoint", func(context.Context) {
 		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
-			s.answer(t, conn)
+			g.Run("connection", func(ctx context.Context) {
+				context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
+				serve(t, conn)
+			})
 		}
 	})
 	return netip.MustParseAddrPort(listener.Addr().String())
@@ -76,6 +82,12 @@
 
 // startEntry serves a model and a plain service on endpoints that answer from a script. It returns the callers' URL.
 func startEntry(t *testing.T, s *script, endpoints int) string {
+	t.Helper()
+	return startEntryWith(t, s.answer, endpoints)
+}
+
+// startEntryWith does the same with endpoints whose connections a function serves.
+func startEntryWith(t *testing.T, serve func(t *testing.T, conn net.Conn), endpoints int) string {
 	t.Helper()
 	g, err := group.New(context.Background())
 	assert.NilError(t, err)
@@ -90,8 +102,8 @@
 	for i := range endpoints {
 		name := fmt.Sprintf("r%d", i)
 		set.Runners = append(set.Runners,
-			catalog.Runner{Name: name, Domain: "a", Address: s.listen(t, g)},
-			catalog.Runner{Name: name + "-plain", Domain: "a", Address: s.listen(t, g), Service: "ledger"})
+			catalog.Runner{Name: name, Domain: "a", Address: listenWith(t, g, serve)},
+			catalog.Runner{Name: name + "-plain", Domain: "a", Address: listenWith(t, g, serve), Service: "ledger"})
 		states = append(states,
 			residency.RunnerState{Runner: name, Reachable: true, Items: []residency.HeldItem{{Name: "crest", Ready: true}}},
 			residency.RunnerState{Runner: name + "-plain", Reachable: true})
@@ -136,3 +148,50 @@
 		assert.NilError(t, response.Body.Close())
 	}
 }
+
+// An endpoint sends an earlier answer once more on a connection that is used again, before the answer that is due.
+func TestLateAnswerIsTakenForTheNextOne(t *testing.T) {
+	tests := []struct{ name, method, path, body string }{
+		{"model", http.MethodPost, "/v1/completions", `{"model":"crest","prompt":"%d"}`},
+		{"idempotent call of a service", http.MethodGet, "/services/ledger/%d", ""},
+		{"call of a service", http.MethodPost, "/services/ledger/%d", "%d"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			address := startEntryWith(t, repeatAnswers, 1)
+			for i := range 3 {
+				number := strconv.Itoa(i)
+				target, body := strings.ReplaceAll(test.path, "%d", number), strings.ReplaceAll(test.body, "%d", number)
+				request, err := http.NewRequest(test.method, address+target, strings.NewReader(body))
+				assert.NilError(t, err)
+				response, err := http.DefaultClient.Do(request)
+				assert.NilError(t, err)
+				got, err := io.ReadAll(response.Body)
+				assert.NilError(t, err)
+				assert.NilError(t, response.Body.Close())
+				assert.Check(t, strings.Contains(string(got), "answer "+number), "request %s got %s", number, got)
+			}
+		})
+	}
+}
+
+// repeatAnswers answers each request on a connection with the request's number, after the answer to the one before.
+func repeatAnswers(t *testing.T, conn net.Conn) {
+	defer func() { assert.Check(t, conn.Close()) }()
+	before := ""
+	for reader := bufio.NewReader(conn); ; {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		assert.Check(t, err)
+		number := strings.Trim(path.Base(request.URL.Path)+string(body), `compltinsrdwh"{}:,./ `)
+		text := fmt.Sprintf(`{"text":"answer %s"}`, number[len(number)-1:])
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		if _, err := io.WriteString(conn, before+answer); err != nil {
+			return
+		}
+		before = answer
+	}
+}
--- a/transport/entry/run.go
+++ b/transport/entry/run.go
@@ -19,6 +19,10 @@
 
 const maxAnswerBytes = 32 << 20
 
+// ownConnection sends a request on a connection of its own. Endpoints name no request in their answers, so that on a shared
+// connection a late answer to another request could be taken for the one to this.
+var ownConnection = httpcall.Options{Fresh: true}
+
 // modelRun serves a model request. It tries endpoints in turn until one answers or the machine stops retrying.
 type modelRun struct {
 	expiryFilter
@@ -163,7 +167,7 @@
 	m.sentAt, m.lastFailure, m.relayedFailure = time.Now(), nil, nil
 	attempt, cancel := context.WithCancel(ctx)
 	m.cancel = cancel
-	call, err := m.entry.http.Start(attempt, m.endpoint.address, request, httpcall.Options{})
+	call, err := m.entry.http.Start(attempt, m.endpoint.address, request, ownConnection)
 	if err != nil {
 		return m.endAttempt(ctx, m.recordCallFailure(ctx, err))
 	}
--- a/transport/entry/service.go
+++ b/transport/entry/service.go
@@ -162,8 +162,7 @@
 	attempt, cancel := context.WithCancel(ctx)
 	s.cancel = cancel
 	sentAt := time.Now()
-	options := httpcall.Options{Fresh: !s.idempotent}
-	call, err := s.entry.http.Start(attempt, s.endpoint.address, s.newRequest(s.endpoint), options)
+	call, err := s.entry.http.Start(attempt, s.endpoint.address, s.newRequest(s.endpoint), ownConnection)
 	if err != nil {
 		return s.recordCallFailure(ctx, err)
 	}
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -71,8 +71,9 @@
 
 // Options are the options of a single call.
 type Options struct {
-	// Fresh requires a new connection. If the endpoint closes a reused one while the request is on its way, the client
-	// cannot tell whether the endpoint received the request.
+	// Fresh requires a connection of its own, which is closed at the end of the call. If the endpoint closes a reused one while the
+	// request is on its way, the client cannot tell whether the endpoint received the request. If responses name no request, a
+	// late one to another request could be taken for the one to this.
 	Fresh bool
 	// MaxBody bounds the bytes of a chunked response body that are buffered at once. Zero means no bound.
 	MaxBody int
@@ -117,6 +118,8 @@
 	writeResult chan error
 	// reused means that the connection has carried other calls.
 	reused bool
+	// fresh means that the connection is closed after the call.
+	fresh bool
 	// resetAtExit means that the connection is reset if the process ends.
 	resetAtExit bool
 	// untilClose means that the body ends with the connection.
@@ -159,6 +162,7 @@
 		conn:        conn,
 		stopCancel:  stopCancel,
 		reused:      reused,
+		fresh:       options.Fresh,
 		resetAtExit: options.ResetAtExit,
 	}
 	if err := exchange.send(request, options); err != nil {
@@ -363,7 +367,7 @@
 		closeConn(e.conn)
 		return
 	}
-	if e.resetAtExit && setLinger(e.conn, defaultLinger) != nil {
+	if e.resetAtExit && setLinger(e.conn, defaultLinger) != nil || e.fresh {
 		closeConn(e.conn)
 		return
 	}
