Log answers that contradict themselves, and no refusals that are proved

Event 532 was written for refusals with a status that promises nothing to callers, such as 400, and not for a success or a failure that states that the request was not executed.

--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -205,7 +205,7 @@
 	x.recordLimit(head)
 	x.recordBrittle(head)
 	x.recordStanding(head)
-	if head.NotRun != platform.IsPromise(header.StatusCode()) || head.NotRun && !head.Named {
+	if !head.NotRun && (head.Stated || platform.IsPromise(header.StatusCode())) {
 		x.logUnproven(head)
 	}
 	switch {
