--- a/integration/gateway_forms_test.go
+++ b/integration/gateway_forms_test.go
@@ -297,6 +297,26 @@
 	return twice, refused, c.foreign
 }
 
+// oddAnswers returns the number of answers so far that had a form.
+func (c *formCheck) oddAnswers() int {
+	odd := 0
+	for _, runner := range c.runners {
+		odd += runner.OddAnswers()
+	}
+	return odd
+}
+
+// served returns the number of requests of the last play that were answered with success.
+func (c *formCheck) served() int {
+	served := 0
+	for _, status := range c.statuses {
+		if status == http.StatusOK {
+			served++
+		}
+	}
+	return served
+}
+
 func (c *formCheck) send(gateway, path, model string) {
 	request := newRequest(context.Background(), c.gateways[gateway], path, model, []byte("{}"))
 	response, err := testClient.Do(request)
@@ -317,8 +337,12 @@
 func (c *formCheck) check(forms []oddForm) {
 	for _, f := range forms {
 		for _, request := range []struct{ path, model string }{{unsafePath, ""}, {modelPath, "large"}} {
+			before := c.oddAnswers()
 			twice, refused, foreign := c.play("vm-1", f.form, request.path, request.model)
 			name := request.path + ", " + f.name
+			// Runners that are processes of their own do not tell how many of their answers were odd.
+			assert.Check(c.t, c.oddAnswers() > before || len(c.processes) > 0, "%s: no answer had the form", name)
+			assert.Check(c.t, c.served() > 0, "%s: no request was served", name)
 			assert.Check(c.t, twice == 0, "%s: %d requests ran twice", name, twice)
 			assert.Check(c.t, refused == 0, "%s: %d requests were refused although they ran", name, refused)
 			assert.Check(c.t, foreign == 0, "%s: %d callers got an answer to another request", name, foreign)
