--- a/integration/gateway_forms_test.go
+++ b/integration/gateway_forms_test.go
@@ -119,10 +119,10 @@
 }
 
 const (
-	notRunField   = "X-Zinniaroute-Not-Executed: 1"
+	notRunField   = caller.NotRunHeader + ": 1"
 	sealField     = caller.SealHeader + ": seal-foreign"
 	namedField    = caller.AttemptHeader + ": " + modelrunner.AttemptPlaceholder
-	notRunHeader  = "X-Zinniaroute-Not-Executed"
+	notRunHeader  = caller.NotRunHeader
 	outcomeHeader = "Zinniaroute-Forward-Outcome"
 )
 
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -21,6 +21,8 @@
 	// of a runner.
 	AttemptHeader = "X-Zinniaroute-Attempt-Id"
 	SealHeader    = "X-Zinniaroute-Response-Seal"
+	// NotRunHeader is the response header with which a runner states that it has not executed a request.
+	NotRunHeader = "X-Zinniaroute-Not-Executed"
 	// ListPath is the path of the store's call that lists items.
 	ListPath = "/zinniaroute/kv-range"
 
