Log whether a refused request was refused on the same connection before

The users saw requests that ran twice or were refused although they ran, and told that an endpoint may send the copy of a refusal later, with the identifier of the refused attempt. Logs could not tell whether a refusal met the same attempt on the connection that carried its first refusal, and responses that are dropped were not counted.

A connection remembers hashes of the names of the requests that were refused on it. Event 506 says whether this attempt was refused on the connection before, how often this VM has sent the request, and how long ago. httpcallUnexpected counts the responses that arrive where none, or another one, is due. No decision changes.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -141,7 +141,7 @@
 	}
 	EndpointDeclined = Event{
 		506, logrus.InfoLevel, "endpoint declined request",
-		[]string{"request", "runner", "status", "unit", "named", "stated", "reused"},
+		[]string{"request", "runner", "status", "unit", "named", "stated", "reused", "refusedBefore", "sends", "sinceSendMs"},
 		"Nothing; the request is retried on another runner within its budget.",
 	}
 	RequestRejected = Event{
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -83,6 +83,8 @@
 	// resumption means that the caller takes up a stream that broke off.
 	resumption bool
 	sentAt     time.Time
+	// sends is the number of times that the request was sent to an endpoint.
+	sends int
 	// taken is what the request has taken of its workspace's allowance, and reachedRunner means that it may have been sent.
 	taken         takenAllowance
 	reachedRunner bool
@@ -167,6 +169,7 @@
 func (x *exchange) callOptions() httpcall.Options {
 	return httpcall.Options{
 		Fresh: x.request.ID == "",
+		Name:  x.request.ID,
 		Match: func(header *protocol.ResponseHeader) httpcall.Match {
 			return platform.MatchAttempt(header, x.request.ID)
 		},
@@ -188,6 +191,7 @@
 	x.inFlight = g.scheduler.RecordSent(now, &x.request, x.choice)
 	x.beginRun(now)
 	x.sentAt = now
+	x.sends++
 	g.queue.Charge(now, x.entry.Workspace, max(1, x.request.PromptTokens+x.request.OutputTokens))
 	return true
 }
@@ -310,6 +314,7 @@
 }
 
 func (x *exchange) handleDecline(ctx context.Context, head platform.ResponseHead) lifecycle.Event {
+	sinceSend := clock.Now().Sub(x.sentAt)
 	_, err := x.call.ReadAll(ctx, maxAnswerBytes)
 	if err != nil {
 		x.gateway.log.Emit(eventlog.EndpointFailed, x.request.ID, x.choice.Runner.ID, true, err)
@@ -322,7 +327,7 @@
 	status := x.call.Response.StatusCode()
 	x.gateway.log.Emit(
 		eventlog.EndpointDeclined, x.request.ID, x.choice.Runner.ID, status, x.request.Unit.String(),
-		head.Named, head.Stated, x.call.Reused(),
+		head.Named, head.Stated, x.call.Reused(), x.call.RefusedBefore(), x.sends, sinceSend.Milliseconds(),
 	)
 	return lifecycle.Declined{Misdirected: head.Misdirected, Full: full}
 }
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -82,6 +82,8 @@
 	// ResetAtExit resets the connection if the process ends during the call. Otherwise the kernel goes on sending a request
 	// that a network partition holds up.
 	ResetAtExit bool
+	// Name is the name by which responses tell to which request they belong, or empty if they do not.
+	Name string
 	// Match says to which request a response belongs. Nil means that all responses are Own.
 	Match func(header *protocol.ResponseHeader) Match
 }
@@ -118,6 +120,9 @@
 	writeResult chan error
 	// reused means that the connection has carried other calls.
 	reused bool
+	// name is the name of the request, and refusedBefore means that one of this name was refused on the connection.
+	name          string
+	refusedBefore bool
 	// fresh means that the connection is closed after the call.
 	fresh bool
 	// resetAtExit means that the connection is reset if the process ends.
@@ -162,9 +167,13 @@
 		conn:        conn,
 		stopCancel:  stopCancel,
 		reused:      reused,
+		name:        options.Name,
 		fresh:       options.Fresh,
 		resetAtExit: options.ResetAtExit,
 	}
+	if c, ok := conn.(*connection); ok {
+		exchange.refusedBefore = c.refused.contains(options.Name)
+	}
 	if err := exchange.send(request, options); err != nil {
 		exchange.Abort()
 		return nil, withContextCause(ctx, err)
@@ -219,8 +228,10 @@
 			case Own:
 				return nil
 			case Unnamed:
+				unexpectedResponses.Add("unnamed", 1)
 				return &Error{Stage: StageHeader, Cause: ErrUnnamed}
 			case Foreign:
+				unexpectedResponses.Add("foreign", 1)
 			}
 		}
 		if err := e.skipBody(); err != nil {
@@ -307,6 +318,9 @@
 // Reused reports whether the connection has carried other calls before.
 func (e *Exchange) Reused() bool { return e.reused }
 
+// RefusedBefore reports whether a request of the same name was refused on the connection before.
+func (e *Exchange) RefusedBefore() bool { return e.refusedBefore }
+
 // EndsWithConnection reports whether the response has neither a length nor chunks, so that the end of the connection is
 // its only end.
 func (e *Exchange) EndsWithConnection() bool { return e.untilClose }
@@ -359,6 +373,9 @@
 	}
 	e.ended = true
 	intact := e.stopCancel()
+	if e.conn.Len() > 0 {
+		unexpectedResponses.Add("after", 1)
+	}
 	if !intact || e.Response.ConnectionClose() || e.untilClose || e.conn.Len() > 0 || e.writeIncomplete() {
 		closeConn(e.conn)
 		return
@@ -371,6 +388,9 @@
 		closeConn(e.conn)
 		return
 	}
+	if c, ok := e.conn.(*connection); ok && e.Response.StatusCode() >= minRefusalStatus {
+		c.refused.record(e.name)
+	}
 	e.client.putIdle(e.address, e.conn, idleTimeout(&e.Response.Header))
 }
 
--- a/transport/httpcall/conn.go
+++ b/transport/httpcall/conn.go
@@ -34,6 +34,8 @@
 	writeTimeout time.Duration
 	// readError is the error of the last read from the socket, or nil.
 	readError error
+	// refused holds the requests that were refused on this connection.
+	refused refusedRequests
 }
 
 func dial(address string, timeout time.Duration) (*connection, error) {
@@ -70,7 +72,10 @@
 	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
 		var read [1]byte
-		_, readErr := syscall.Read(int(fd), read[:])
+		n, readErr := syscall.Read(int(fd), read[:])
+		if n > 0 {
+			unexpectedResponses.Add("idle", 1)
+		}
 		quiet = errors.Is(readErr, syscall.EAGAIN)
 		return true
 	})
--- /dev/null
+++ b/transport/httpcall/refused.go
@@ -0,0 +1,38 @@
+package httpcall
+
+import (
+	"expvar"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// minRefusalStatus is the lowest status of a response that may refuse a request (RFC 9110, section 15.5).
+	minRefusalStatus = 400
+	// maxRefusedRequests bounds what a connection remembers: 256 bytes.
+	maxRefusedRequests = 32
+)
+
+// unexpectedResponses counts what arrives where no response is due, or where another one is: responses that name another request,
+// that name none, and bytes after a response or on an idle connection.
+var unexpectedResponses = expvar.NewMap("httpcallUnexpected")
+
+// refusedRequests holds hashes of the names of the requests that were refused on a connection. An endpoint may send a copy of a
+// refusal late, which looks like the response to the same request if that is sent on the connection again.
+type refusedRequests struct{ names []uint64 }
+
+// record adds the name of a request, unless it is empty.
+func (r *refusedRequests) record(name string) {
+	if name == "" {
+		return
+	}
+	if hash := xxhash.Sum64String(name); !slices.Contains(r.names, hash) {
+		r.names = append(r.names, hash)
+	}
+}
+
+// contains reports whether a request of a name was refused.
+func (r *refusedRequests) contains(name string) bool {
+	return name != "" && len(r.names) > 0 && slices.Contains(r.names, xxhash.Sum64String(name))
+}
