Test that a copy of a refusal ends the next try of the attempt

The stand-in of runners refuses requests truly and sends a copy of the refusal on the connection: some time later, or when the next request has been read.

--- a/integration/gateway_forms_test.go
+++ b/integration/gateway_forms_test.go
@@ -203,7 +203,9 @@
 	processes []processRunner
 	// requests is the number of requests that each caller sends for a form.
 	requests int
-	mu       sync.Mutex
+	// repeats makes callers send an attempt that was refused a second time.
+	repeats bool
+	mu      sync.Mutex
 	// statuses holds the status that the caller of an attempt got.
 	statuses map[string]int
 	foreign  int
@@ -321,9 +323,17 @@
 
 func (c *formCheck) send(gateway, path, model string) {
 	request := newRequest(context.Background(), c.gateways[gateway], path, model, []byte("{}"))
+	if isPromise(c.sendOnce(request)) && c.repeats {
+		request.Body = io.NopCloser(strings.NewReader("{}"))
+		c.sendOnce(request)
+	}
+}
+
+// sendOnce sends a request, records what became of it, and returns the status, or zero if there is no answer.
+func (c *formCheck) sendOnce(request *http.Request) int {
 	response, err := testClient.Do(request)
 	if err != nil {
-		return
+		return 0
 	}
 	body, _ := io.ReadAll(response.Body)
 	_ = response.Body.Close()
@@ -333,25 +343,29 @@
 	if strings.Contains(string(body), foreignBody) {
 		c.foreign++
 	}
+	return response.StatusCode
 }
 
 // check plays each form with unsafe requests and with streams that cannot be resumed.
 func (c *formCheck) check(forms []oddForm) {
 	for _, f := range forms {
-		for _, request := range []struct{ path, model string }{{unsafePath, ""}, {modelPath, "large"}} {
-			before := c.oddAnswers()
-			twice, refused, foreign := c.play("vm-1", f.form, request.path, request.model)
-			name := request.path + ", " + f.name
-			// Runners that are processes of their own do not tell how many of their answers were odd.
-			assert.Check(c.t, c.oddAnswers() > before || len(c.processes) > 0, "%s: no answer had the form", name)
-			assert.Check(c.t, c.served() > 0, "%s: no request was served", name)
-			assert.Check(c.t, twice == 0, "%s: %d requests ran twice", name, twice)
-			assert.Check(c.t, refused == 0, "%s: %d requests were refused although they ran", name, refused)
-			assert.Check(c.t, foreign == 0, "%s: %d callers got an answer to another request", name, foreign)
-		}
+		c.checkForm(f, unsafePath, "")
+		c.checkForm(f, modelPath, "large")
 	}
 }
 
+func (c *formCheck) checkForm(f oddForm, path, model string) {
+	before := c.oddAnswers()
+	twice, refused, foreign := c.play("vm-1", f.form, path, model)
+	name := path + ", " + f.name
+	// Runners that are processes of their own do not tell how many of their answers were odd.
+	assert.Check(c.t, c.oddAnswers() > before || len(c.processes) > 0, "%s: no answer had the form", name)
+	assert.Check(c.t, c.served() > 0, "%s: no request was served", name)
+	assert.Check(c.t, twice == 0, "%s: %d requests ran twice", name, twice)
+	assert.Check(c.t, refused == 0, "%s: %d requests were refused although they ran", name, refused)
+	assert.Check(c.t, foreign == 0, "%s: %d callers got an answer to another request", name, foreign)
+}
+
 // checkForms plays each form at a gateway with a path to the runners, and at one whose requests another one sends.
 func checkForms(t *testing.T, forms []oddForm) {
 	t.Helper()
--- a/standin/modelrunner/form.go
+++ b/standin/modelrunner/form.go
@@ -18,7 +18,7 @@
 const AttemptPlaceholder = "{attempt}"
 
 // Form describes answers of a runner that has run the request, but whose answers look like refusals, or whose connection
-// carries further bytes.
+// carries further bytes, and refusals of which copies follow.
 type Form struct {
 	// Every is the number of requests of which one is answered in this form, or zero for none.
 	Every int `json:"every"`
@@ -35,6 +35,8 @@
 	Delay  document.Duration `json:"delay"`
 	// Close closes the connection in place of the answer.
 	Close bool `json:"close"`
+	// Copy is nil if the runner runs the request, and otherwise says when a copy of its refusal follows.
+	Copy *Copy `json:"copy"`
 	// Control means that the form is the one of answers to reports and orders, not to requests.
 	Control bool `json:"control"`
 }
@@ -45,13 +47,15 @@
 	form  Form
 	count int
 	odd   int
+	// refused counts the refusals of each attempt since the form was set.
+	refused map[string]int
 }
 
 // SetForm sets the form of some of the answers from now on.
 func (r *Runner) SetForm(form Form) {
 	r.forms.mu.Lock()
 	defer r.forms.mu.Unlock()
-	r.forms.form, r.forms.count = form, 0
+	r.forms.form, r.forms.count, r.forms.refused = form, 0, make(map[string]int)
 }
 
 // OddAnswers returns the number of answers so far that had a form that was set.
@@ -65,16 +69,22 @@
 func (f *forms) next(control bool) Form {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.form.Every == 0 || f.form.Control != control {
-		return Form{}
-	}
-	if f.count++; f.count%f.form.Every != 0 {
+	if f.form.Copy != nil || f.form.Control != control || !f.counts() {
 		return Form{}
 	}
 	f.odd++
 	return f.form
 }
 
+// counts counts an answer and reports whether it has the form. The caller must hold the lock.
+func (f *forms) counts() bool {
+	if f.form.Every == 0 {
+		return false
+	}
+	f.count++
+	return f.count%f.form.Every == 0
+}
+
 // reshape gives the head of an answer a form, and reports whether the answer is complete with that.
 func (r *Runner) reshape(c *app.RequestContext, form Form) bool {
 	if form.Close {
@@ -161,6 +171,8 @@
 	mu          sync.Mutex
 	extra       []byte
 	delay       time.Duration
+	// withNext is written when the next request has been read.
+	withNext []byte
 }
 
 // writeAfterNext writes bytes some time after the end of the answer.
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -326,8 +326,9 @@
 }
 
 func (r *Runner) report(_ context.Context, c *app.RequestContext) {
+	r.sendCopy(c)
 	r.announceLeaving(c)
-	if r.rejectMisdirected(c) {
+	if r.rejectMisdirected(c) || r.refuse(c, true) {
 		return
 	}
 	form := r.forms.next(true)
@@ -352,8 +353,9 @@
 }
 
 func (r *Runner) order(_ context.Context, c *app.RequestContext) {
+	r.sendCopy(c)
 	r.announceLeaving(c)
-	if r.rejectMisdirected(c) {
+	if r.rejectMisdirected(c) || r.refuse(c, true) {
 		return
 	}
 	form := r.forms.next(true)
@@ -480,9 +482,10 @@
 func (r *Runner) run(ctx context.Context, c *app.RequestContext) {
 	// For a path without a handler, the HTTP library presets status 404.
 	c.SetStatusCode(statusOK)
+	r.sendCopy(c)
 	r.recordArrival(c)
 	r.announceLeaving(c)
-	if r.rejectMisdirected(c) || r.rejectResting(c) {
+	if r.rejectMisdirected(c) || r.rejectResting(c) || r.refuse(c, false) {
 		return
 	}
 	if r.endsRun(c) {
