Do not send a request again on a connection on which it was refused

Callers saw requests that must run once run twice, and requests refused that ran. A runner that refuses an attempt may send a copy of the refusal late. The VM may send the same attempt to this runner again: a full runner is not excluded, another VM forwards the attempt, or the caller repeats it. It took the connection that was used last, where the copy arrived in place of the answer. The copy names the attempt and says that it was not executed, so it was believed while the request ran.

The name of the request cannot tell the copy from an answer; the connection can. A connection remembers hashes of the names of up to 32 requests that were refused on it, is not used for them again, and is closed at the next refusal. The memory belongs to the connection, not to the request, so that it covers attempts that come to a VM on several ways. Requests that were not refused use connections as before.

Event 506 names the connection in place of refusedBefore, which cannot be true any more, and so does event 532.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -141,7 +141,7 @@
 	}
 	EndpointDeclined = Event{
 		506, logrus.InfoLevel, "endpoint declined request",
-		[]string{"request", "runner", "status", "unit", "named", "stated", "reused", "refusedBefore", "sends", "sinceSendMs"},
+		[]string{"request", "runner", "status", "unit", "named", "stated", "reused", "connection", "sends", "sinceSendMs"},
 		"Nothing; the request is retried on another runner within its budget.",
 	}
 	RequestRejected = Event{
@@ -331,7 +331,7 @@
 	}
 	AnswerUnproven = Event{
 		532, logrus.WarnLevel, "answer has the status of a refusal but does not say that this request has not run, or says so with another status",
-		[]string{"request", "runner", "status", "named", "stated", "reused"},
+		[]string{"request", "runner", "status", "named", "stated", "reused", "connection"},
 		"Check the runner, and whatever stands before it: the request may have run.",
 	}
 	ForwardDeclined = Event{
--- a/integration/gateway_copies_test.go
+++ b/integration/gateway_copies_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-
 	"github.com/zinniaroute/zinniaroute/document"
 	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
 )
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -327,7 +327,7 @@
 	status := x.call.Response.StatusCode()
 	x.gateway.log.Emit(
 		eventlog.EndpointDeclined, x.request.ID, x.choice.Runner.ID, status, x.request.Unit.String(),
-		head.Named, head.Stated, x.call.Reused(), x.call.RefusedBefore(), x.sends, sinceSend.Milliseconds(),
+		head.Named, head.Stated, x.call.Reused(), x.call.Connection(), x.sends, sinceSend.Milliseconds(),
 	)
 	return lifecycle.Declined{Misdirected: head.Misdirected, Full: full}
 }
@@ -337,7 +337,7 @@
 	answersUnproven.Add(strconv.Itoa(x.call.Response.StatusCode()), 1)
 	x.gateway.log.Emit(
 		eventlog.AnswerUnproven, x.request.ID, x.choice.Runner.ID, x.call.Response.StatusCode(), head.Named, head.Stated,
-		x.call.Reused(),
+		x.call.Reused(), x.call.Connection(),
 	)
 }
 
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -82,7 +83,8 @@
 	// ResetAtExit resets the connection if the process ends during the call. Otherwise the kernel goes on sending a request
 	// that a network partition holds up.
 	ResetAtExit bool
-	// Name is the name by which responses tell to which request they belong, or empty if they do not.
+	// Name is the name by which responses tell to which request they belong, or empty if they do not. A request is not sent on a
+	// connection on which one of its name was refused: a copy of the refusal, sent late, could be taken for its response.
 	Name string
 	// Match says to which request a response belongs. Nil means that all responses are Own.
 	Match func(header *protocol.ResponseHeader) Match
@@ -120,9 +122,8 @@
 	writeResult chan error
 	// reused means that the connection has carried other calls.
 	reused bool
-	// name is the name of the request, and refusedBefore means that one of this name was refused on the connection.
-	name          string
-	refusedBefore bool
+	// name is the name of the request, or empty.
+	name string
 	// fresh means that the connection is closed after the call.
 	fresh bool
 	// resetAtExit means that the connection is reset if the process ends.
@@ -141,7 +142,7 @@
 	request *protocol.Request,
 	options Options,
 ) (*Exchange, error) {
-	conn, reused, err := c.connect(address, options.Fresh)
+	conn, reused, err := c.connect(address, options)
 	if err != nil {
 		return nil, &Error{Stage: StageDial, Cause: err}
 	}
@@ -171,9 +172,6 @@
 		fresh:       options.Fresh,
 		resetAtExit: options.ResetAtExit,
 	}
-	if c, ok := conn.(*connection); ok {
-		exchange.refusedBefore = c.refused.contains(options.Name)
-	}
 	if err := exchange.send(request, options); err != nil {
 		exchange.Abort()
 		return nil, withContextCause(ctx, err)
@@ -318,8 +316,14 @@
 // Reused reports whether the connection has carried other calls before.
 func (e *Exchange) Reused() bool { return e.reused }
 
-// RefusedBefore reports whether a request of the same name was refused on the connection before.
-func (e *Exchange) RefusedBefore() bool { return e.refusedBefore }
+// Connection returns the number of the connection, which is unique in the process.
+func (e *Exchange) Connection() uint64 {
+	c, ok := e.conn.(*connection)
+	if !ok {
+		return 0
+	}
+	return c.number
+}
 
 // EndsWithConnection reports whether the response has neither a length nor chunks, so that the end of the connection is
 // its only end.
@@ -388,8 +392,9 @@
 		closeConn(e.conn)
 		return
 	}
-	if c, ok := e.conn.(*connection); ok && e.Response.StatusCode() >= minRefusalStatus {
-		c.refused.record(e.name)
+	if c, ok := e.conn.(*connection); ok && e.Response.StatusCode() >= minRefusalStatus && !c.refused.record(e.name) {
+		closeConn(e.conn)
+		return
 	}
 	e.client.putIdle(e.address, e.conn, idleTimeout(&e.Response.Header))
 }
@@ -405,9 +410,9 @@
 }
 
 // connect returns an idle connection, or a new one if there is none or a fresh one is required.
-func (c *Client) connect(address netip.AddrPort, fresh bool) (conn network.Conn, reused bool, err error) {
-	if !fresh {
-		for idle, ok := c.takeIdle(address); ok; idle, ok = c.takeIdle(address) {
+func (c *Client) connect(address netip.AddrPort, options Options) (conn network.Conn, reused bool, err error) {
+	if !options.Fresh {
+		for idle, ok := c.takeIdle(address, options.Name); ok; idle, ok = c.takeIdle(address, options.Name) {
 			if idle.usable(time.Now()) {
 				return idle.conn, true, nil
 			}
@@ -421,16 +426,23 @@
 	return dialed, false, nil
 }
 
-func (c *Client) takeIdle(address netip.AddrPort) (idleConn, bool) {
+// takeIdle takes the connection that was used last, of those on which no request of the name was refused.
+func (c *Client) takeIdle(address netip.AddrPort, name string) (idleConn, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[address]
-	if len(conns) == 0 {
-		return idleConn{}, false
+	for i, idle := range slices.Backward(conns) {
+		if !idle.refused(name) {
+			c.idle[address] = slices.Delete(conns, i, i+1)
+			return idle, true
+		}
 	}
-	last := conns[len(conns)-1]
-	c.idle[address] = conns[:len(conns)-1]
-	return last, true
+	return idleConn{}, false
+}
+
+func (i idleConn) refused(name string) bool {
+	c, ok := i.conn.(*connection)
+	return ok && c.refused.contains(name)
 }
 
 // usable reports whether an idle connection can be reused. A request on a connection that the endpoint has closed fails
--- a/transport/httpcall/conn.go
+++ b/transport/httpcall/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,9 +26,13 @@
 	keepAliveCount    = 3
 )
 
+// connections counts the connections of the process, which gives each its number.
+var connections atomic.Uint64
+
 // connection is a TCP connection that implements network.Conn of the HTTP library.
 type connection struct {
 	net.Conn
+	number       uint64
 	reader       *bufio.Reader
 	pending      []byte
 	readTimeout  time.Duration
@@ -53,7 +58,7 @@
 }
 
 func newConnection(conn net.Conn) *connection {
-	c := &connection{Conn: conn}
+	c := &connection{Conn: conn, number: connections.Add(1)}
 	c.reader = bufio.NewReaderSize(timedReader{c}, readBufferBytes)
 	return c
 }
--- a/transport/httpcall/framing_test.go
+++ b/transport/httpcall/framing_test.go
@@ -37,7 +37,7 @@
 			assert.Assert(t, err != nil, "the response is taken for a whole one")
 			assert.Check(t, WasSent(err), "the request is called not sent: %v", err)
 			assert.Check(t, !BeforeAnswer(err), "the response is taken for a lost connection: %v", err)
-			_, kept := client.takeIdle(address)
+			_, kept := client.takeIdle(address, "")
 			assert.Check(t, !kept, "the connection is used again")
 		})
 	}
--- a/transport/httpcall/panic_test.go
+++ b/transport/httpcall/panic_test.go
@@ -23,7 +23,7 @@
 			_, err := client.Fetch(context.Background(), address, NewRequest("GET", address, "/", nil), time.Second, 100)
 			assert.Assert(t, err != nil)
 			assert.Check(t, WasSent(err), "the request is called not sent: %v", err)
-			_, kept := client.takeIdle(address)
+			_, kept := client.takeIdle(address, "")
 			assert.Check(t, !kept, "the connection is used again")
 		})
 	}
--- a/transport/httpcall/refused.go
+++ b/transport/httpcall/refused.go
@@ -10,7 +10,8 @@
 const (
 	// minRefusalStatus is the lowest status of a response that may refuse a request (RFC 9110, section 15.5).
 	minRefusalStatus = 400
-	// maxRefusedRequests bounds what a connection remembers: 256 bytes.
+	// maxRefusedRequests is the number of refused requests that a connection remembers, in 256 bytes. It is closed at the next
+	// refusal.
 	maxRefusedRequests = 32
 )
 
@@ -22,14 +23,21 @@
 // refusal late, which looks like the response to the same request if that is sent on the connection again.
 type refusedRequests struct{ names []uint64 }
 
-// record adds the name of a request, unless it is empty.
-func (r *refusedRequests) record(name string) {
+// record adds the name of a request, unless it is empty. It reports false if there is no room for the name, so that the connection
+// must not be used again.
+func (r *refusedRequests) record(name string) bool {
 	if name == "" {
-		return
+		return true
 	}
-	if hash := xxhash.Sum64String(name); !slices.Contains(r.names, hash) {
-		r.names = append(r.names, hash)
+	hash := xxhash.Sum64String(name)
+	switch {
+	case slices.Contains(r.names, hash):
+		return true
+	case len(r.names) >= maxRefusedRequests:
+		return false
 	}
+	r.names = append(r.names, hash)
+	return true
 }
 
 // contains reports whether a request of a name was refused.
