--- a/integration/soak_forms_test.go
+++ b/integration/soak_forms_test.go
@@ -13,7 +13,7 @@
 // formsOfSoak returns the forms of answers of the soak, without those that end the connection, which other faults do.
 func formsOfSoak() []oddForm {
 	var forms []oddForm
-	for _, all := range [][]oddForm{unstatedForms(), contradictoryForms(), unnamedForms(), outcomeForms()} {
+	for _, all := range [][]oddForm{unstatedForms(), contradictoryForms(), unnamedForms(), outcomeForms(), copyForms()} {
 		for _, f := range all {
 			if !f.form.Close {
 				forms = append(forms, f)
