Close connections to runners after refused orders and reports

A copy of a refused order or report, sent late, was taken for the answer to the next call on the connection: orders that the runner accepted counted as refused, and the true answer was due to the call after. Orders and reports name nothing in their answers, so that a connection cannot remember which of them were refused. It is closed after any refusal instead.

--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -86,6 +86,9 @@
 	// Name is the name by which responses tell to which request they belong, or empty if they do not. A request is not sent on a
 	// connection on which one of its name was refused: a copy of the refusal, sent late, could be taken for its response.
 	Name string
+	// CloseRefused closes the connection after a refusal. It is for calls whose responses have no name, which cannot be told from a
+	// copy of the refusal that is sent late.
+	CloseRefused bool
 	// Match says to which request a response belongs. Nil means that all responses are Own.
 	Match func(header *protocol.ResponseHeader) Match
 }
@@ -124,8 +127,8 @@
 	reused bool
 	// name is the name of the request, or empty.
 	name string
-	// fresh means that the connection is closed after the call.
-	fresh bool
+	// fresh means that the connection is closed after the call, and closeRefused that it is if the call is refused.
+	fresh, closeRefused bool
 	// resetAtExit means that the connection is reset if the process ends.
 	resetAtExit bool
 	// untilClose means that the body ends with the connection.
@@ -162,15 +165,16 @@
 	}
 	stopCancel := context.AfterFunc(ctx, func() { resetConn(conn) })
 	exchange := &Exchange{
-		Response:    &protocol.Response{},
-		client:      c,
-		address:     address,
-		conn:        conn,
-		stopCancel:  stopCancel,
-		reused:      reused,
-		name:        options.Name,
-		fresh:       options.Fresh,
-		resetAtExit: options.ResetAtExit,
+		Response:     &protocol.Response{},
+		client:       c,
+		address:      address,
+		conn:         conn,
+		stopCancel:   stopCancel,
+		reused:       reused,
+		name:         options.Name,
+		fresh:        options.Fresh,
+		closeRefused: options.CloseRefused,
+		resetAtExit:  options.ResetAtExit,
 	}
 	if err := exchange.send(request, options); err != nil {
 		exchange.Abort()
@@ -392,13 +396,19 @@
 		closeConn(e.conn)
 		return
 	}
-	if c, ok := e.conn.(*connection); ok && e.Response.StatusCode() >= minRefusalStatus && !c.refused.record(e.name) {
+	if e.Response.StatusCode() >= minRefusalStatus && !e.reusableAfterRefusal() {
 		closeConn(e.conn)
 		return
 	}
 	e.client.putIdle(e.address, e.conn, idleTimeout(&e.Response.Header))
 }
 
+// reusableAfterRefusal records that the connection carried a refusal. It reports whether the connection may carry other requests.
+func (e *Exchange) reusableAfterRefusal() bool {
+	c, ok := e.conn.(*connection)
+	return ok && !e.closeRefused && c.refused.record(e.name)
+}
+
 // Abort ends the exchange and resets the connection, which cancels the work at the endpoint.
 func (e *Exchange) Abort() {
 	if e.ended {
