Keep the rest of a runner whose entry is missing for a while

The runner's entry was removed from the store 0.24 s after it asked for the rest and came back a second later with the same start; the VM had forgotten the rest with the entry, and sent three requests at once.

The scheduler keeps the rest of a removed runner until it is over, and deletes it with a later removal. A later start ends it, also if the entry was missing meanwhile.

The cases in TestRestOfARunner and TestRestEndsWithTheEntryOfTheRunner failed before.

--- a/state/dispatch/endpoint.go
+++ b/state/dispatch/endpoint.go
@@ -141,6 +141,8 @@
 	returning bool
 	// restAskedAt is when the endpoint last asked for a rest.
 	restAskedAt time.Time
+	// removed reports that the endpoint is not listed, and that the state holds its rest only.
+	removed bool
 	// adapterBackoffUntil is the end of the backoff after the runner's owner failed to load an adapter.
 	adapterBackoffUntil time.Time
 }
--- a/state/dispatch/rest_test.go
+++ b/state/dispatch/rest_test.go
@@ -148,6 +148,16 @@
 			s.RecordRest(now, "r", 3*time.Second, 0)
 			s.RecordRestart("r", at(-0.4))
 		}, 1, true},
+		{"removed and listed again", func(s *Scheduler) {
+			s.RecordRest(now, "r", 3*time.Second, 0)
+			s.Remove(at(0.5), "r")
+			s.RecordRestart("r", at(-5))
+		}, 2.9, true},
+		{"removed and started again", func(s *Scheduler) {
+			s.RecordRest(now, "r", 3*time.Second, 0)
+			s.Remove(at(0.5), "r")
+			s.RecordRestart("r", at(1))
+		}, 1.1, false},
 	}
 	for _, test := range tests {
 		s := NewScheduler("a")
@@ -172,3 +182,16 @@
 	third, _ := s.Choose(now, request, runners, nil, 0)
 	assert.Equal(t, third.Runner.ID, "r")
 }
+
+func TestStateOfRemovedRunnersEndsWithTheirRest(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := NewScheduler("a")
+	for i := range 100 {
+		id := fmt.Sprint("r", i)
+		s.RecordRest(now, id, time.Second, 0)
+		s.Remove(now, id)
+	}
+	assert.Equal(t, len(s.endpoints), 100)
+	s.Remove(now.Add(time.Second), "r0")
+	assert.Equal(t, len(s.endpoints), 0)
+}
--- a/state/dispatch/scheduler.go
+++ b/state/dispatch/scheduler.go
@@ -110,6 +110,7 @@
 		l = &endpointState{}
 		s.endpoints[runner] = l
 	}
+	l.removed = false
 	return l
 }
 
@@ -466,10 +467,23 @@
 	return false
 }
 
-// Remove deletes the state of a removed endpoint, unless requests to it are still running.
-func (s *Scheduler) Remove(runner string) {
-	if l := s.endpoints[runner]; l != nil && l.running == 0 {
-		delete(s.endpoints, runner)
-		s.capacity.Remove(runner)
+// Remove deletes the state of a removed endpoint, unless requests to it are still running. Of an endpoint that rests it keeps the
+// rest until that is over: the endpoint may be listed again, and may run on meanwhile.
+func (s *Scheduler) Remove(now time.Time, runner string) {
+	for id, l := range s.endpoints {
+		if l.removed && !now.Before(l.restUntil) {
+			delete(s.endpoints, id)
+		}
+	}
+	l := s.endpoints[runner]
+	if l == nil || l.running > 0 {
+		return
+	}
+	delete(s.endpoints, runner)
+	s.capacity.Remove(runner)
+	if now.Before(l.restUntil) {
+		s.endpoints[runner] = &endpointState{
+			restUntil: l.restUntil, returning: l.returning, restAskedAt: l.restAskedAt, removed: true,
+		}
 	}
 }
--- a/transport/gateway/brittle_test.go
+++ b/transport/gateway/brittle_test.go
@@ -28,7 +28,7 @@
 		g.mu.Lock()
 		g.scheduler.RecordTurnedAway(now, "r1", 1)
 		full := g.scheduler.Full(now, &fleet.Request{}, []*fleet.Runner{&runner}, nil)
-		g.scheduler.Remove("r1")
+		g.scheduler.Remove(now, "r1")
 		g.mu.Unlock()
 		assert.Assert(t, full, "a runner that has turned a request away gets another at once")
 	}
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -174,7 +174,7 @@
 			runners[id] = true
 		}
 	}
-	g.forgetRunners(g.directory.ApplyListing(now, runners, g.entryGrace.Remaining(now)))
+	g.forgetRunners(now, g.directory.ApplyListing(now, runners, g.entryGrace.Remaining(now)))
 	g.removeUnlisted(now, present)
 }
 
@@ -225,7 +225,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.recordSync(requestedAt, revision)
-	g.forgetRunners(g.directory.Expire(now))
+	g.forgetRunners(now, g.directory.Expire(now))
 	if len(events) > 0 {
 		g.notifyDirectoryChange()
 	}
@@ -288,7 +288,7 @@
 		g.storeLog.ApplyListing(present, v.Revision)
 	}
 	g.directory.LimitAbsence(now.Add(g.entryGrace.Remaining(now)))
-	g.forgetRunners(g.directory.Expire(now))
+	g.forgetRunners(now, g.directory.Expire(now))
 	g.lastViewAt = now
 	switch {
 	case !v.HeldBack:
@@ -337,9 +337,9 @@
 }
 
 // forgetRunners removes the scheduler's state of runners that the directory removed. The caller must hold the lock.
-func (g *Gateway) forgetRunners(ids []string) {
+func (g *Gateway) forgetRunners(now time.Time, ids []string) {
 	for _, id := range ids {
-		g.scheduler.Remove(id)
+		g.scheduler.Remove(now, id)
 		g.log.Emit(eventlog.RunnerEntryChanged, id, string(fleet.ChangeRemoved), "", "", 0)
 	}
 }
@@ -438,7 +438,7 @@
 			return true
 		}
 		if change := g.directory.Remove(id); change != fleet.ChangeNone {
-			g.scheduler.Remove(id)
+			g.scheduler.Remove(now, id)
 			g.log.Emit(eventlog.RunnerEntryChanged, id, string(change), "", "", item.Revision)
 		}
 		return true
@@ -451,7 +451,7 @@
 	}
 	g.recordRunnerStart(now, runner)
 	change := g.directory.Put(now, runner)
-	if change == fleet.ChangeRestarted {
+	if change == fleet.ChangeRestarted || change == fleet.ChangeAdded {
 		g.scheduler.RecordRestart(id, time.UnixMilli(runner.Incarnation))
 	}
 	if change != fleet.ChangeNone {
--- a/transport/gateway/store_test.go
+++ b/transport/gateway/store_test.go
@@ -144,3 +144,38 @@
 		assert.Equal(t, g.scheduler.Resting(now, "r1"), test.want, test.name)
 	}
 }
+
+// The entry of a runner that rests disappears and comes back, as after lost heartbeats. Only a later start ends its rest.
+func TestRestEndsWithTheEntryOfTheRunner(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	tests := []struct {
+		name  string
+		start time.Time
+		want  bool
+	}{
+		{"the same start", now.Add(-time.Minute), true},
+		{"a later start", now.Add(time.Second), false},
+	}
+	for _, test := range tests {
+		g := startVM(now, "vm-0")
+		revision := uint64(0)
+		apply := func(after time.Duration, startedAt time.Time) {
+			revision++
+			item := platform.Item{Key: platform.RunnersPrefix + "r1", Revision: fleet.NewRevision(0, revision), Deleted: startedAt.IsZero()}
+			if !item.Deleted {
+				item.Value = fmt.Appendf(nil, `{"service":"s","address":"127.0.0.1:8000","zone":"a","version":"v1","state":"ready","born":%d}`, startedAt.UnixMilli())
+			}
+			g.applyItems(now.Add(after), []platform.Item{item})
+		}
+		apply(0, now.Add(-time.Minute))
+		g.mu.Lock()
+		g.scheduler.RecordRest(now, "r1", 3*time.Second, 0)
+		g.mu.Unlock()
+		apply(time.Second, time.Time{})
+		apply(2*time.Second, test.start)
+		g.mu.Lock()
+		assert.Check(t, g.directory.Get("r1") != nil, test.name)
+		assert.Equal(t, g.scheduler.Resting(now.Add(2900*time.Millisecond), "r1"), test.want, test.name)
+		g.mu.Unlock()
+	}
+}
