Read the response to a HEAD request without a body after other responses

The client reset the response after each interim one and each one to another request, and with it the mark that the response to a HEAD request has no body. It then waited for the bytes that the length of the response names, and the call failed or read the next bytes of the connection as the body. The mark is set again.

--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -214,6 +214,7 @@
 			err = &Error{Stage: StageHeader, Cause: malformedResponse(cause)}
 		}
 	}()
+	isHead := e.Response.SkipBody
 	for range maxSkippedResponses + 1 {
 		if err := checkHead(e.conn); err != nil {
 			return &Error{Stage: StageHeader, Cause: err}
@@ -240,6 +241,7 @@
 			return &Error{Stage: StageHeader, Cause: err}
 		}
 		e.Response.Reset()
+		e.Response.SkipBody = isHead
 	}
 	return &Error{Stage: StageHeader, Cause: errTooManySkipped}
 }
--- a/transport/httpcall/client_test.go
+++ b/transport/httpcall/client_test.go
@@ -188,3 +188,23 @@
 	assert.Equal(t, exchange.Response.StatusCode(), 200)
 	assert.Equal(t, string(body), "right")
 }
+
+// A response to a HEAD request has a length without a body, also after responses that do not belong to the request.
+func TestResponseToHeadRequestAfterOthersIsReadWithABody(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 5\r\n\r\n"
+	tests := []struct{ name, response string }{
+		{"alone", head},
+		{"after an interim response", "HTTP/1.1 103 Early Hints\r\n\r\n" + head},
+		{"after a response to another HEAD request", "HTTP/1.1 503 Service Unavailable\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n" + head},
+	}
+	for _, test := range tests {
+		p, address := newPeer(t)
+		p.serve(t, test.response)
+		client := NewClient(time.Second)
+		exchange, err := client.Start(t.Context(), address, NewRequest("HEAD", address, "/", nil), Options{Match: matchID("mine")})
+		assert.NilError(t, err, test.name)
+		body, err := exchange.ReadAll(t.Context(), 100)
+		assert.Check(t, err, test.name)
+		assert.Check(t, len(body) == 0, "%s: body %q", test.name, body)
+	}
+}
