Close connections to engines after refused reports

A copy of a refused report or index, sent late, was taken for the answer to the next call on the connection. Two failed reads in turn make an engine count as unreachable, so that one refusal with its copy was enough, and entries sent it no requests until the next read. Orders and requests have connections of their own.

--- a/transport/engineapi/client.go
+++ b/transport/engineapi/client.go
@@ -23,6 +23,9 @@
 	statusOK         = 200
 )
 
+// reusedUnlessRefused closes the connection of a refused call. Engines name no call in their answers.
+var reusedUnlessRefused = httpcall.Options{CloseRefused: true}
+
 // Client calls the HTTP API of model engines.
 type Client struct {
 	http *httpcall.Client
@@ -36,7 +39,7 @@
 // Index returns the items that an engine holds, and the engine's incarnation, which changes when the engine restarts.
 func (c *Client) Index(ctx context.Context, address netip.AddrPort) ([]ledger.IndexEntry, string, error) {
 	request := httpcall.NewRequest("POST", address, engine.IndexPath, []byte("{}"))
-	result, err := c.http.Fetch(ctx, address, request, readTimeout, maxResponseBytes)
+	result, err := c.http.FetchWith(ctx, address, request, readTimeout, maxResponseBytes, reusedUnlessRefused)
 	if err != nil {
 		return nil, "", errors.Wrap(err, "read engine index")
 	}
@@ -53,7 +56,7 @@
 // Report returns the load report of an engine.
 func (c *Client) Report(ctx context.Context, address netip.AddrPort) (engine.Report, error) {
 	request := httpcall.NewRequest("GET", address, engine.ReportPath, nil)
-	result, err := c.http.Fetch(ctx, address, request, readTimeout, maxResponseBytes)
+	result, err := c.http.FetchWith(ctx, address, request, readTimeout, maxResponseBytes, reusedUnlessRefused)
 	if err != nil {
 		return engine.Report{}, errors.Wrap(err, "read load report")
 	}
