--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -81,6 +81,8 @@
 	Tokens      int64               `json:"tokens"`
 	Crashes     int64               `json:"crashes"`
 	Incarnation string              `json:"incarnation"`
+	// Refused is the number of calls that were refused by a form.
+	Refused int `json:"refused"`
 }
 
 // Server is a stand-in for a model engine.
@@ -98,6 +100,7 @@
 	crashes     atomic.Int64
 	leaving     atomic.Bool
 	form        atomic.Pointer[Form]
+	copies      copies
 }
 
 // NewServer returns an engine with nothing loaded.
@@ -106,6 +109,7 @@
 		options: options,
 		memory:  newMemory(options.Accelerators, options.MemoryMiB, options.Fenced),
 		slots:   make(chan struct{}, options.Slots),
+		copies:  copies{calls: make(map[string]int), pending: make(map[string][]byte)},
 	}
 	s.incarnation.Store(uuid.NewString())
 	return s
@@ -114,7 +118,7 @@
 // Start serves on the listener in the group.
 func (s *Server) Start(g *group.Group, listener net.Listener) {
 	server := httpserve.NewServer(listener, httpserve.DefaultBounds(), false)
-	server.Use(s.Faults.Handle)
+	server.Use(s.Faults.Handle, s.copyRefusal)
 	server.POST(engine.IndexPath, s.index)
 	server.POST(engine.ModelsPath+":name"+engine.LoadSuffix, s.load)
 	server.POST(engine.ModelsPath+":name"+engine.UnloadSuffix, s.unload)
@@ -134,6 +138,9 @@
 	s.memory.mu.Lock()
 	overcommits, orders, fence := s.memory.overcommits, s.memory.orders, s.memory.fence
 	s.memory.mu.Unlock()
+	s.copies.mu.Lock()
+	refused := s.copies.refused
+	s.copies.mu.Unlock()
 	return State{
 		Items:       s.memory.index(),
 		Overcommits: overcommits,
@@ -145,6 +152,7 @@
 		Tokens:      s.tokens.Load(),
 		Crashes:     s.crashes.Load(),
 		Incarnation: s.incarnation.Load().(string),
+		Refused:     refused,
 	}
 }
 
