Test copies of refused orders and reports on a deployment

Runners refuse one of four orders and reports with 409, 412, 421 or 503, and a copy follows with the next call or after 1 ms.

--- a/integration/gateway_forms_test.go
+++ b/integration/gateway_forms_test.go
@@ -269,7 +269,7 @@
 // many got an answer that is not theirs.
 func (c *formCheck) play(gateway string, form modelrunner.Form, path, model string) (twice, refused, foreign int) {
 	c.t.Helper()
-	if form.Every = formEvery; form.Control {
+	if form.Every = formEvery; form.Control && form.Copy == nil {
 		form.Every = 1
 	}
 	c.setForm(form)
@@ -414,6 +414,7 @@
 			})
 		}
 	}
+	forms = append(forms, controlCopyForms()...)
 	for _, f := range forms {
 		twice, refused, foreign := c.play("vm-1", f.form, modelPath, "large/"+adapterPlaceholder)
 		assert.Check(t, twice+refused+foreign == 0, "%s: %d ran twice, %d refused, %d foreign", f.name, twice, refused, foreign)
