--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -142,7 +142,7 @@
 	EndpointDeclined = Event{
 		506, logrus.InfoLevel, "endpoint declined request",
 		[]string{"request", "runner", "status", "unit", "named", "stated", "reused", "connection", "sends", "sinceSendMs"},
-		"Nothing; the request is retried on another runner within its budget.",
+		"Nothing; the request is retried within its budget, on another runner unless this one had no room.",
 	}
 	RequestRejected = Event{
 		509, logrus.InfoLevel, "request rejected: it would be served too late",
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -127,8 +127,10 @@
 	reused bool
 	// name is the name of the request, or empty.
 	name string
-	// fresh means that the connection is closed after the call, and closeRefused that it is if the call is refused.
-	fresh, closeRefused bool
+	// fresh means that the connection is closed after the call.
+	fresh bool
+	// closeRefused means that the connection is closed if the call is refused.
+	closeRefused bool
 	// resetAtExit means that the connection is reset if the process ends.
 	resetAtExit bool
 	// untilClose means that the body ends with the connection.
--- a/transport/httpcall/refused.go
+++ b/transport/httpcall/refused.go
@@ -8,15 +8,16 @@
 )
 
 const (
-	// minRefusalStatus is the lowest status of a response that may refuse a request (RFC 9110, section 15.5).
+	// minRefusalStatus is the lowest status of a response that may refuse a request (RFC 9110, section 15.5). Failures of an endpoint
+	// count as refusals: a request may be sent again after them too.
 	minRefusalStatus = 400
 	// maxRefusedRequests is the number of refused requests that a connection remembers, in 256 bytes. It is closed at the next
 	// refusal.
 	maxRefusedRequests = 32
 )
 
-// unexpectedResponses counts what arrives where no response is due, or where another one is: responses that name another request,
-// that name none, and bytes after a response or on an idle connection.
+// unexpectedResponses counts responses that name another request (foreign) or none (unnamed) where one is due, and connections on which
+// bytes arrive after a response (after) or while they are idle (idle).
 var unexpectedResponses = expvar.NewMap("httpcallUnexpected")
 
 // refusedRequests holds hashes of the names of the requests that were refused on a connection. An endpoint may send a copy of a
