Check rejected attempts of the soak as strictly as before

Since callers repeat each rejected attempt that must run once, and what ran before the repetition was seen only if it ran twice. Now half of the rejected attempts are not repeated and must not run at all, and none may have run when it is repeated.

--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -327,9 +328,11 @@
 	for ctx.Err() == nil {
 		p := paths[random.IntN(len(paths))]
 		request := newRequest(context.Background(), s.gateways[vm], p.path, p.model, []byte("{}"))
-		if isPromise(s.sendRequest(vm, p.model, request)) && *soakForms && (p.path == unsafePath || p.path == modelPath) {
+		attempt := request.Header.Get(caller.AttemptHeader)
+		refused := isPromise(s.sendRequest(vm, p.model, request))
+		if refused && *soakForms && (p.path == unsafePath || p.path == modelPath) && isRepeated(attempt) {
 			// The library of a caller may send the attempt again.
-			s.allowAgain(request.Header.Get(caller.AttemptHeader))
+			s.allowAgain(attempt)
 			request.Body = io.NopCloser(strings.NewReader("{}"))
 			s.sendRequest(vm, p.model, request)
 		}
@@ -355,8 +358,16 @@
 	return response.StatusCode
 }
 
-// allowAgain lets an attempt run that was rejected and is sent again. If it has run before, it runs twice.
+// isRepeated reports whether the caller of a rejected attempt sends it again. Half of them must not run at all.
+func isRepeated(attempt string) bool { return (attempt[len(attempt)-1]-'0')%2 == 0 }
+
+// allowAgain lets an attempt run that was rejected and is sent again, unless it has run before.
 func (s *soak) allowAgain(attempt string) {
+	for id, runner := range s.runners {
+		if slices.ContainsFunc(runner.Runs(), func(r modelrunner.Run) bool { return r.Attempt == attempt }) {
+			s.recordViolation(attempt + " was rejected but had run at " + id)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.rejected, attempt)
