Log the age of the list of endpoints, and when it becomes old

Event 507 said which runner a request went to, but not how old the VM's list of endpoints was, and no event said why a list was old: a call to the store that takes long, an aggregator that does not answer, or a VM that is starved.

No change of logic.

--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -239,6 +239,16 @@
 		[]string{"revision", "error"},
 		"Check that all VMs run the same version of the program.",
 	}
+	ContentOld = Event{
+		415, logrus.WarnLevel, "known content of the store is old; requests may go to endpoints that have left",
+		[]string{"ageMs", "aggregator", "viewAgeMs", "storeCallMs", "reportAgeMs"},
+		"See docs/OPERATIONS.md.",
+	}
+	ContentRecent = Event{
+		416, logrus.InfoLevel, "known content of the store is recent again",
+		[]string{"oldestMs", "ageMs"},
+		"Nothing.",
+	}
 	ContentReceived = Event{
 		414, logrus.InfoLevel, "this VM has no configuration and takes the store's content from another VM",
 		[]string{"revision", "ageMs"},
@@ -403,7 +413,7 @@
 		507, logrus.InfoLevel, "request served",
 		[]string{
 			"request", "route", "unit", "outcome", "status", "reason", "runner", "runs", "ms", "predictedMs", "beforeMs", "firstMs", "pauseMs", "version",
-			"workspace",
+			"workspace", "listAgeMs",
 		},
 		"See docs/OPERATIONS.md.",
 	}
@@ -411,7 +421,7 @@
 		510, logrus.WarnLevel, "request not served",
 		[]string{
 			"request", "route", "unit", "outcome", "status", "reason", "runner", "runs", "ms", "predictedMs", "beforeMs", "firstMs", "pauseMs", "version",
-			"workspace",
+			"workspace", "listAgeMs",
 		},
 		"See docs/OPERATIONS.md.",
 	}
@@ -454,7 +464,7 @@
 		RequestFailed, StreamResumed, NoRoute, NoEndpoint, EndpointFailed, EndpointDeclined,
 		RequestServed, RequestNotServed, LogLinesDropped, HandlerPanicked,
 		RequestRefusedStopping, RequestRejected, RequestQuarantined, EndpointEnded,
-		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, OriginsNotStored, OriginUnconfirmed, RunnerLeaves, RunnerRests, VersionNotRecorded, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable, EntryIgnored, ContentReceived,
+		CrashRecordDropped, QuarantineStarted, QuarantineNotStored, QuarantineUnreadable, PartRefused, PartQuarantined, LimitChanged, PermitNotAnswered, StreamContinued, StreamTakenUp, OriginsNotStored, OriginUnconfirmed, RunnerLeaves, RunnerRests, VersionNotRecorded, SettingsReloaded, RegistrationFailed, MemberChanged, StoreReturned, EraNotMarked, ViewUnreadable, EntryIgnored, ContentOld, ContentRecent, ContentReceived,
 		WorkspaceNotUsed, WorkspaceKeyShared, WorkspaceLimitNotUsed, RequestUnauthorized, ForwardUnauthorized,
 		BrittleChanged, CapacityChanged, PathChanged, RequestForwarded, ForwardDeclined, AnswerUnproven, QueueFull, RunnerSeemsCrashed,
 		AllowanceExceeded, AllowanceSummaryLost, AllowanceBoundExceeded, AllowancesTruncated,
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -85,6 +85,8 @@
 	sentAt     time.Time
 	// sends is the number of times that the request was sent to an endpoint.
 	sends int
+	// listAge is the age of the list of endpoints at the last send to one.
+	listAge time.Duration
 	// taken is what the request has taken of its workspace's allowance, and reachedRunner means that it may have been sent.
 	taken         takenAllowance
 	reachedRunner bool
@@ -191,6 +193,7 @@
 	x.inFlight = g.scheduler.RecordSent(now, &x.request, x.choice)
 	x.beginRun(now)
 	x.sentAt = now
+	x.listAge = now.Sub(g.syncedAt)
 	x.sends++
 	g.queue.Charge(now, x.entry.Workspace, max(1, x.request.PromptTokens+x.request.OutputTokens))
 	return true
@@ -490,6 +493,6 @@
 		event, x.request.ID, x.route.Name, x.request.Unit.String(), string(action), status,
 		x.machine.Reason(), x.machine.Endpoint(), x.machine.Runs(), now.Sub(x.request.ArrivedAt).Milliseconds(),
 		x.choice.Wait.Milliseconds(), x.sendDelay().Milliseconds(), x.firstByteLatency.Milliseconds(),
-		x.longestPause().Milliseconds(), x.configurationVersion, loggedWorkspace(x.request.Workspace),
+		x.longestPause().Milliseconds(), x.configurationVersion, loggedWorkspace(x.request.Workspace), x.listAge.Milliseconds(),
 	)
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -46,7 +46,7 @@
 	rotationRemovalTime = 2500 * time.Millisecond
 )
 
-// Gateway is the gateway process of a VM. The field mu protects the fields after it, up to syncedAt.
+// Gateway is the gateway process of a VM. The field mu protects the fields after it, up to storeCalledAt.
 type Gateway struct {
 	settings      settings.Gateway
 	currentBounds atomic.Pointer[settings.Bounds]
@@ -145,6 +145,8 @@
 	reportNow chan struct{}
 	// syncedAt is the time of the request to the store that the known content reflects.
 	syncedAt time.Time
+	// storeCalledAt is when the call that reads the store began, or zero if none is under way.
+	storeCalledAt time.Time
 
 	// allowances holds the spending of workspaces. The field mu protects it.
 	allowances allowances
@@ -256,6 +258,7 @@
 	g.serveForwards(tasks, forwards)
 	g.serveOperations(tasks, ops)
 	tasks.Start("follow store", g.followStore)
+	tasks.Start("watch content age", g.watchContentAge)
 	tasks.Start("register", g.keepRegistered)
 	tasks.Start("claim runners", g.claimRunners)
 	tasks.Start("watch path", g.watchPath)
--- a/transport/gateway/metrics.go
+++ b/transport/gateway/metrics.go
@@ -109,12 +109,16 @@
 	beforeSend, firstByte, whole *histogram
 	// longestPause covers the longest time between two events of each stream that had two.
 	longestPause *histogram
+	// listAge covers the age of the list of endpoints when each request was sent to one.
+	listAge *histogram
 }
 
 func newMetrics() *metrics {
-	m := &metrics{beforeSend: newHistogram(), firstByte: newHistogram(), whole: newHistogram(), longestPause: newHistogram()}
+	m := &metrics{
+		beforeSend: newHistogram(), firstByte: newHistogram(), whole: newHistogram(), longestPause: newHistogram(), listAge: newHistogram(),
+	}
 	for name, h := range map[string]*histogram{
-		"beforeSend": m.beforeSend, "firstByte": m.firstByte, "whole": m.whole, "longestPause": m.longestPause,
+		"beforeSend": m.beforeSend, "firstByte": m.firstByte, "whole": m.whole, "longestPause": m.longestPause, "listAge": m.listAge,
 	} {
 		latencies.Set(name, expvar.Func(h.summary))
 	}
@@ -131,6 +135,9 @@
 	if !x.sentAt.IsZero() {
 		m.beforeSend.record(x.sendDelay())
 	}
+	if x.sends > 0 {
+		m.listAge.record(x.listAge)
+	}
 	if x.firstByteLatency > 0 {
 		m.firstByte.record(x.firstByteLatency)
 	}
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -124,6 +124,7 @@
 // listStore applies the store's whole content and returns the revision after which a watch continues.
 func (g *Gateway) listStore(ctx context.Context) (fleet.Revision, error) {
 	requestedAt := clock.Now()
+	defer g.recordStoreCall(requestedAt)()
 	items, revision, err := g.store.List(ctx, "")
 	if err != nil {
 		return 0, err
@@ -196,11 +197,24 @@
 	g.owners.RecordSync(requestedAt)
 }
 
+// recordStoreCall records that a call to read the store begins, and returns the function that records its end.
+func (g *Gateway) recordStoreCall(now time.Time) (ended func()) {
+	set := func(at time.Time) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.storeCalledAt = at
+	}
+	set(now)
+	return func() { set(time.Time{}) }
+}
+
 // watchStore applies changes until a call fails or another VM forwards them.
 func (g *Gateway) watchStore(ctx context.Context, r *storeReader, revision fleet.Revision) error {
 	for !g.hasRecentView(clock.Now()) {
 		requestedAt := clock.Now()
+		ended := g.recordStoreCall(requestedAt)
 		events, next, err := g.store.Watch(ctx, "", revision, watchTimeout)
+		ended()
 		if err != nil {
 			return err
 		}
