Do not merge crash records again that are known

A VM sends all of its crash records to a new aggregator. The aggregator merged them although it knew them, and compared each with the keys of all runs of its crash, which it built for each comparison: 21 ms for 700 known records, under the gateway's lock (100 ms for 1,300), for each of 295 VMs. So each VM in turn timed out, and the records were sent again to the next one.

Records that are in the table are left out of the merge, and the runs of a crash have a set of keys. 700 known records take less than 30 times as long as 70.

--- a/state/quarantine/parts.go
+++ b/state/quarantine/parts.go
@@ -38,6 +38,8 @@
 type outage struct {
 	at   time.Time
 	runs []Crash
+	// keys holds the keys of the runs.
+	keys map[string]struct{}
 }
 
 // PartTracker finds parts of prompts that crash each endpoint that begins to answer a request with them. It is not safe
@@ -108,15 +110,16 @@
 		// The clock of the VM that made the record is ahead.
 		c.EndedAt = now
 	}
+	key := c.Key()
 	for _, o := range t.outages {
 		if !o.runs[0].same(c) {
 			continue
 		}
-		known := slices.ContainsFunc(o.runs, func(r Crash) bool { return r.Key() == c.Key() })
-		if known || len(o.runs) >= maxRunsPerOutage {
+		if _, known := o.keys[key]; known || len(o.runs) >= maxRunsPerOutage {
 			return false
 		}
 		o.runs = append(o.runs, c)
+		o.keys[key] = struct{}{}
 		if c.EndedAt.Before(o.at) {
 			o.at = c.EndedAt
 		}
@@ -125,7 +128,7 @@
 	if len(t.outages) >= maxOutages {
 		t.outages = t.outages[1:]
 	}
-	t.outages = append(t.outages, &outage{at: c.EndedAt, runs: []Crash{c}})
+	t.outages = append(t.outages, &outage{at: c.EndedAt, runs: []Crash{c}, keys: map[string]struct{}{key: {}}})
 	return true
 }
 
--- a/transport/gateway/quarantine.go
+++ b/transport/gateway/quarantine.go
@@ -294,18 +294,21 @@
 	}
 }
 
-// putCrashRecords adds records to those that VMs exchange. The caller must hold the lock.
-func (g *Gateway) putCrashRecords(now time.Time, crashes []quarantine.Crash) {
+// putCrashRecords adds records to those that VMs exchange, and returns those that were not known. The caller must hold the lock.
+func (g *Gateway) putCrashRecords(now time.Time, crashes []quarantine.Crash) []quarantine.Crash {
+	var added []quarantine.Crash
 	for _, crash := range crashes {
-		if now.Sub(crash.EndedAt) < quarantine.SuspicionTTL {
-			g.crashes.records.Put(now, crash)
+		if now.Sub(crash.EndedAt) < quarantine.SuspicionTTL && g.crashes.records.Put(now, crash) {
+			added = append(added, crash)
 		}
 	}
+	return added
 }
 
-// mergeCrashes adds records that another VM or the store holds. The caller must hold the lock.
+// mergeCrashes adds records that another VM or the store holds. Known ones cost little, since each VM sends all of its records when
+// the aggregator changes. The caller must hold the lock.
 func (g *Gateway) mergeCrashes(now time.Time, source string, crashes []quarantine.Crash) {
-	g.putCrashRecords(now, crashes)
+	crashes = g.putCrashRecords(now, crashes)
 	quarantined, cleared := g.crashes.tracker.Merge(now, crashes)
 	g.putCrashRecords(now, cleared)
 	g.logQuarantines(source, quarantined...)
