Exchange crash records in parts, the latest first

When the VM that merges the reports of a large fleet is lost, all VMs turn to the next one and send it all of their crash records, and get all of its: after three runners crashed with 667 requests, 87 kB up and 174 kB down for each of 295 VMs, which is 2 s of a link of 200 Mbit/s where a call may take 0.65 s. The calls timed out, the VMs turned to the next VM, and all began anew, for as long as the records are kept (10 min).

What a VM has of another one's changes is a range: new changes extend it upwards, and the backlog fills it downwards, the latest first, so that a crash that is seen meanwhile does not wait behind the backlog. A VM of the build before says nothing of ranges and gets records in order, of which it takes the last number for all; an aggregator of the build before sends all at once, as before.

--- a/coordination/dissemination/table.go
+++ b/coordination/dissemination/table.go
@@ -1,6 +1,7 @@
 package dissemination
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -74,6 +75,46 @@
 	return records, t.changes
 }
 
+// Range is the part of a table's changes that a peer has: those after After, up to UpTo.
+type Range struct{ After, UpTo uint64 }
+
+// NoneOf returns the range of a peer that has nothing of the table. The peer gets the latest records first.
+func (t *Table[R]) NoneOf() Range { return Range{After: t.changes, UpTo: t.changes} }
+
+// Missing returns records that a peer lacks, a number of them at most, and the range that the peer has with them. Those stored after
+// the range come first, in order, then those stored before it, the latest first.
+func (t *Table[R]) Missing(known Range, atMost int) ([]R, Range) {
+	if known.After == 0 && known.UpTo == t.changes {
+		return nil, known
+	}
+	var later, earlier []row[R]
+	for _, held := range t.rows {
+		switch {
+		case held.changeNumber > known.UpTo:
+			later = append(later, held)
+		case held.changeNumber <= known.After:
+			earlier = append(earlier, held)
+		}
+	}
+	slices.SortFunc(later, func(a, b row[R]) int { return cmp.Compare(a.changeNumber, b.changeNumber) })
+	slices.SortFunc(earlier, func(a, b row[R]) int { return cmp.Compare(b.changeNumber, a.changeNumber) })
+	records := make([]R, 0, min(atMost, len(later)+len(earlier)))
+	for _, held := range later[:min(len(later), atMost)] {
+		records, known.UpTo = append(records, held.record), held.changeNumber
+	}
+	if len(later) <= atMost {
+		known.UpTo = t.changes
+	}
+	room := atMost - len(records)
+	for _, held := range earlier[:min(len(earlier), room)] {
+		records, known.After = append(records, held.record), held.changeNumber-1
+	}
+	if len(earlier) <= room {
+		known.After = 0
+	}
+	return records, known
+}
+
 // Expire removes the records whose version was stored before a time.
 func (t *Table[R]) Expire(before time.Time) {
 	for key, held := range t.rows {
--- a/protocol/vm/messages.go
+++ b/protocol/vm/messages.go
@@ -99,7 +99,7 @@
 	// it had sent by then.
 	Aggregator      string `cbor:"7,keyasint,omitempty"`
 	ReceivedChanges uint64 `cbor:"8,keyasint,omitempty"`
-	// Crashes holds the changes of crash records that the aggregator lacks. ReceivedCrashes is the number of changes that
+	// Crashes holds changes of crash records that the aggregator lacks. ReceivedCrashes is the number of the last change that
 	// it had sent by the answer before. Number 9 is not used again.
 	Crashes         []quarantine.Crash `cbor:"10,keyasint,omitempty"`
 	ReceivedCrashes uint64             `cbor:"11,keyasint,omitempty"`
@@ -124,6 +124,11 @@
 	Capacities map[string]capacity.Evidence `cbor:"21,keyasint,omitempty"`
 	// RunnerFailures holds the runners at which connections of the VM have failed, unless the VM has lost its path.
 	RunnerFailures []RunnerFailure `cbor:"22,keyasint,omitempty"`
+	// ReceivedCrashesAfter and ReceivedClearancesAfter are the numbers of the changes up to which the VM has none: it has those
+	// after them. ReadsRanges reports that it takes records in such parts. VMs of earlier builds get records in order.
+	ReceivedCrashesAfter    uint64 `cbor:"23,keyasint,omitempty"`
+	ReceivedClearancesAfter uint64 `cbor:"24,keyasint,omitempty"`
+	ReadsRanges             bool   `cbor:"25,keyasint,omitempty"`
 }
 
 // Summary is the aggregator's answer to a VM.
@@ -144,7 +149,7 @@
 	// sent so far.
 	Aggregator  string `cbor:"8,keyasint"`
 	SentChanges uint64 `cbor:"9,keyasint"`
-	// Crashes holds the changes of crash records that the VM lacks, and SentCrashes is the number of changes sent so far.
+	// Crashes holds changes of crash records that the VM lacks, and SentCrashes is the number of the last change sent so far.
 	// Number 10 is not used again.
 	Crashes     []quarantine.Crash `cbor:"11,keyasint,omitempty"`
 	SentCrashes uint64             `cbor:"12,keyasint,omitempty"`
@@ -165,6 +170,9 @@
 	Capacities map[string]capacity.Evidence `cbor:"20,keyasint,omitempty"`
 	// RunnerFailures holds the runners at which connections of other VMs have failed.
 	RunnerFailures []RunnerFailure `cbor:"21,keyasint,omitempty"`
+	// SentCrashesAfter and SentClearancesAfter are the numbers of the changes up to which no records were sent yet.
+	SentCrashesAfter    uint64 `cbor:"22,keyasint,omitempty"`
+	SentClearancesAfter uint64 `cbor:"23,keyasint,omitempty"`
 }
 
 // AdapterRequest asks the owner of a runner to load an adapter on it.
--- a/protocol/vm/messages_test.go
+++ b/protocol/vm/messages_test.go
@@ -205,3 +205,30 @@
 	assert.NilError(t, cbor.Unmarshal(data, &earlierSummary))
 	assert.Equal(t, earlierSummary.Grace, summary.Grace)
 }
+
+// A VM of the build before neither sends nor reads the numbers after which records were sent: it has all up to a number.
+func TestBuildBeforeReadsMessagesWithPartsOfRecords(t *testing.T) {
+	report, summary := sampleReport(), sampleSummary()
+	report.ReceivedCrashes, report.ReceivedCrashesAfter, report.ReceivedClearancesAfter, report.ReadsRanges = 9, 5, 4, true
+	summary.SentCrashes, summary.SentCrashesAfter, summary.SentClearancesAfter = 9, 5, 4
+	data, err := cbor.Marshal(report)
+	assert.NilError(t, err)
+	var read Report
+	assert.NilError(t, cbor.Unmarshal(data, &read))
+	assert.DeepEqual(t, read, report)
+	var earlierReport reportBefore
+	assert.NilError(t, cbor.Unmarshal(data, &earlierReport))
+	data, err = cbor.Marshal(earlierReport)
+	assert.NilError(t, err)
+	read = Report{}
+	assert.NilError(t, cbor.Unmarshal(data, &read))
+	assert.Check(t, !read.ReadsRanges && read.ReceivedCrashesAfter == 0)
+	data, err = cbor.Marshal(summary)
+	assert.NilError(t, err)
+	var readSummary Summary
+	assert.NilError(t, cbor.Unmarshal(data, &readSummary))
+	assert.DeepEqual(t, readSummary, summary)
+	var earlierSummary summaryBefore
+	assert.NilError(t, cbor.Unmarshal(data, &earlierSummary))
+	assert.Equal(t, earlierSummary.Grace, summary.Grace)
+}
--- a/transport/gateway/slow_aggregator_test.go
+++ b/transport/gateway/slow_aggregator_test.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"github.com/zinniaroute/zinniaroute/coordination/dissemination"
 	"github.com/zinniaroute/zinniaroute/coordination/relay"
 	"github.com/zinniaroute/zinniaroute/platform"
 	"github.com/zinniaroute/zinniaroute/protocol/vm"
@@ -96,3 +97,47 @@
 		func() time.Duration { return crashMergeCost(many) })
 	assert.Check(t, leastMany < 3*many/few*leastFew, "%v for %d records, %v for %d", leastFew, few, leastMany, many)
 }
+
+// A crash that a VM sees while it exchanges the records before with a new aggregator is known to others by the next exchange, also to
+// a VM of the build before, which gets records in order.
+func TestNewCrashWaitsBehindThoseBefore(t *testing.T) {
+	const records = 700
+	now := time.Unix(1_000_000, 0)
+	aggregator := &simulatedVM{name: "vm-0"}
+	aggregator.start(now)
+	vms := []*simulatedVM{{name: "vm-1"}, {name: "vm-2"}}
+	for _, v := range vms {
+		v.start(now)
+		v.gateway.mergeCrashes(now, "test", crashedRequests(now, records))
+	}
+	before := dissemination.NewTable[quarantine.Crash]()
+	var receivedBefore uint64
+	exchange := func() {
+		for _, v := range vms {
+			g := v.gateway
+			report := g.report(now)
+			sent := g.addCrashes(report)
+			summary := aggregator.gateway.mergeReport(now, report)
+			assert.Assert(t, len(report.Crashes) <= maxExchangedRecords && len(summary.Crashes) <= maxExchangedRecords)
+			g.recordCrashExchange(now, report, sent, summary)
+			g.aggregatorIncarnation = summary.Aggregator
+		}
+		report := &vm.Report{VM: "before", Aggregator: aggregator.gateway.incarnation, ReceivedCrashes: receivedBefore}
+		summary := aggregator.gateway.mergeReport(now, report)
+		for _, crash := range summary.Crashes {
+			before.Put(now, crash)
+		}
+		receivedBefore = summary.SentCrashes
+	}
+	exchange()
+	seen := quarantine.Crash{Fingerprint: 7, Endpoint: "i-9", Incarnation: 1, SentAt: now, EndedAt: now.Add(time.Second)}
+	vms[0].gateway.mergeCrashes(now, "test", []quarantine.Crash{seen})
+	exchange()
+	_, _, known := vms[1].gateway.crashes.records.Get(seen.Key())
+	assert.Check(t, known, "a crash is known after the backlog only")
+	for range 2 * records / maxExchangedRecords {
+		exchange()
+	}
+	assert.Equal(t, len(aggregator.gateway.crashes.records.Records()), records+1)
+	assert.Equal(t, len(before.Records()), records+1)
+}
