Merge failed connections apart from loads and speeds

Other VMs avoid a runner that has crashed only when they know, so each report with more failed connections than the one before made the aggregator merge all reports anew: 0.85 ms a report instead of 0.1 ms with 295 VMs. When runners crash, or when another VM becomes the aggregator, every report is such a one, and calls with reports time out.

Failures are merged on their own now, at once if new ones arrive. A report with three failures costs less than three times one without.

TestFailedConnectionsOverloadTheNextAggregator failed before: 106 us without, 850 us with three failures.

--- a/coordination/gathering/reports.go
+++ b/coordination/gathering/reports.go
@@ -80,8 +80,6 @@
 	loads      map[string]dispatch.EndpointLoad
 	capacities map[string]capacity.Evidence
 	lostPaths  []string
-	// failures holds the failed connections of all VMs.
-	failures map[runnerStart]dispatch.Failure
 	// uses holds the latest use of each unit with an adapter, by runner.
 	uses map[string]map[fleet.Unit]time.Time
 }
@@ -101,6 +99,10 @@
 	// merged is computed from all reports at mergedAt.
 	merged   *merged
 	mergedAt time.Time
+	// failures holds the failed connections of all VMs, as of failuresAt. failuresChanged means that reports have added some since.
+	failures        map[runnerStart]dispatch.Failure
+	failuresAt      time.Time
+	failuresChanged bool
 }
 
 // NewReports returns an empty set of reports.
@@ -115,10 +117,8 @@
 			delete(r.owned, runner)
 		}
 	}
-	if len(report.Failures) > len(r.latest[vm].report.Failures) {
-		// Other VMs avoid a runner that has crashed only when they know.
-		r.merged = nil
-	}
+	// Other VMs avoid a runner that has crashed only when they know, so that new failures are merged at once.
+	r.failuresChanged = r.failuresChanged || len(report.Failures) > len(r.latest[vm].report.Failures)
 	r.latest[vm] = received{report: report, receivedAt: now}
 	for runner, owned := range report.Owned {
 		before, known := r.owned[runner]
@@ -200,7 +200,7 @@
 	}
 	m := &merged{
 		loads: make(map[string]dispatch.EndpointLoad), capacities: make(map[string]capacity.Evidence),
-		uses: make(map[string]map[fleet.Unit]time.Time), failures: make(map[runnerStart]dispatch.Failure),
+		uses: make(map[string]map[fleet.Unit]time.Time),
 	}
 	r.eachLive(now, func(vm string, report *Report) {
 		for runner, load := range report.EndpointLoads {
@@ -213,14 +213,6 @@
 			sum.Add(evidence)
 			m.capacities[runner] = sum
 		}
-		for _, f := range report.Failures {
-			key := runnerStart{f.Runner, f.Incarnation}
-			sum := m.failures[key]
-			if f.At.After(sum.At) {
-				sum.At = f.At
-			}
-			m.failures[key] = dispatch.Failure{Runner: f.Runner, Incarnation: f.Incarnation, At: sum.At, VMs: sum.VMs + 1}
-		}
 		if report.PathLost {
 			m.lostPaths = append(m.lostPaths, vm)
 		}
@@ -268,9 +260,29 @@
 	return others
 }
 
+// mergeFailures returns the failed connections of all VMs. Few reports have any, so that this takes a small part of a merge.
+func (r *Reports) mergeFailures(now time.Time) map[runnerStart]dispatch.Failure {
+	if !r.failuresChanged && now.Sub(r.failuresAt) < mergeInterval {
+		return r.failures
+	}
+	failures := make(map[runnerStart]dispatch.Failure)
+	r.eachLive(now, func(_ string, report *Report) {
+		for _, f := range report.Failures {
+			key := runnerStart{f.Runner, f.Incarnation}
+			sum := failures[key]
+			if f.At.After(sum.At) {
+				sum.At = f.At
+			}
+			failures[key] = dispatch.Failure{Runner: f.Runner, Incarnation: f.Incarnation, At: sum.At, VMs: sum.VMs + 1}
+		}
+	})
+	r.failures, r.failuresAt, r.failuresChanged = failures, now, false
+	return failures
+}
+
 // Failures returns the failed connections of all VMs but one, by runner and incarnation, the latest first.
 func (r *Reports) Failures(now time.Time, except string) []dispatch.Failure {
-	sums := r.merge(now).failures
+	sums := r.mergeFailures(now)
 	own := make(map[runnerStart]bool)
 	for _, f := range r.latest[except].report.Failures {
 		own[runnerStart{f.Runner, f.Incarnation}] = true
--- a/transport/gateway/slow_aggregator_test.go
+++ b/transport/gateway/slow_aggregator_test.go
@@ -12,6 +12,7 @@
 	"github.com/zinniaroute/zinniaroute/coordination/relay"
 	"github.com/zinniaroute/zinniaroute/platform"
 	"github.com/zinniaroute/zinniaroute/protocol/vm"
+	"github.com/zinniaroute/zinniaroute/state/capacity"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
 	"github.com/zinniaroute/zinniaroute/state/quarantine"
 )
@@ -141,3 +142,35 @@
 	assert.Equal(t, len(aggregator.gateway.crashes.records.Records()), records+1)
 	assert.Equal(t, len(before.Records()), records+1)
 }
+
+// firstReportCost returns the time that a new aggregator takes for the first report of each of many VMs, each of which has seen a number
+// of runners fail.
+func firstReportCost(failures int) time.Duration {
+	const vms = 295
+	now := time.Unix(1_000_000, 0)
+	v := &simulatedVM{name: "aggregator"}
+	v.start(now)
+	reports := make([]*vm.Report, vms)
+	for i := range reports {
+		reports[i] = largeFleetReport(i)
+		reports[i].Capacities = make(map[string]capacity.Evidence)
+		for j := range 60 {
+			reports[i].Capacities[fmt.Sprintf("i-%010x", (7*i+3*j)%165)] = capacity.Evidence{Incarnation: 1}
+		}
+		for j := range failures {
+			reports[i].RunnerFailures = append(reports[i].RunnerFailures, vm.RunnerFailure{Runner: fmt.Sprintf("i-%010x", j), Incarnation: 1})
+		}
+	}
+	startedAt := time.Now()
+	for _, report := range reports {
+		now = now.Add(time.Second / vms)
+		v.gateway.mergeReport(now, report)
+	}
+	return time.Since(startedAt) / vms
+}
+
+// Each of hundreds of VMs tells a new aggregator which runners have crashed.
+func TestFailedConnectionsOverloadTheNextAggregator(t *testing.T) {
+	without, with := leastCosts(2, 3, func() time.Duration { return firstReportCost(0) }, func() time.Duration { return firstReportCost(3) })
+	assert.Check(t, with < 3*without, "%v for a report without failures, %v with three", without, with)
+}
