Ask the store for a runner when the list of runners is old

A VM knows how old its list is, but never used it.

When the list is older than the time for which a leaving runner serves, less half a second for the way there, a VM asks the store for the runner's entry before it sends a request (one call for all requests to it, and none for a runner that was confirmed as recently). Without failures no list is that old.

Weighed: refusing requests (a VM that is cut off from the store would serve nobody), a second watch for entries of runners (twice the calls to the store).

TestRunnerThatLeftIsUsedByAnOldList failed before: requests go to the draining runner by a list of 4 s.

--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/zinniaroute/zinniaroute/document"
 	"github.com/zinniaroute/zinniaroute/standin/caller"
 	"github.com/zinniaroute/zinniaroute/standin/fault"
 	"github.com/zinniaroute/zinniaroute/standin/modelrunner"
@@ -202,6 +203,21 @@
 	assert.Equal(t, len(d.runners["p1"].Runs()), before)
 }
 
+// A VM whose calls to read the store take too long must not go on with an old list of runners, while the store answers others.
+func TestRunnerThatLeftIsUsedByAnOldList(t *testing.T) {
+	d := servingDeployment(t)
+	d.store.Faults.Set(fault.Faults{Delay: document.NewDuration(10 * time.Second), PathContains: "kv-watch"})
+	time.Sleep(time.Second)
+	d.runners["p1"].SetDraining()
+	d.store.Put(caller.RunnerKeys+"p1", d.runners["p1"].Entry())
+	time.Sleep(2 * time.Second)
+	before := len(d.runners["p1"].Runs())
+	for range 50 {
+		assert.Equal(t, d.send("vm-1", safePath, "").status, 200)
+	}
+	assert.Equal(t, len(d.runners["p1"].Runs()), before, "requests reach the runner that drains")
+}
+
 func TestGatewayServesDuringStoreOutage(t *testing.T) {
 	d := servingDeployment(t)
 	d.store.Faults.Set(fault.Faults{Down: true})
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -44,6 +44,9 @@
 	// OwnerChangePause is the minimum time between the last order of one owner to a runner and the first order of the
 	// next owner.
 	OwnerChangePause document.Duration `json:"takeOver"`
+	// RunnerDrain is the time for which a runner goes on serving after the store has accepted that it leaves. Zero means that it is
+	// not known: VMs then use old lists of runners without asking the store.
+	RunnerDrain document.Duration `json:"runnerDrain"`
 	// RetryRatio and RetrySlack limit the retries of all VMs within RetryWindow: a share of the requests, plus a fixed
 	// number.
 	RetryRatio  float64           `json:"repeatRatio"`
@@ -122,6 +125,9 @@
 	if b.AllowanceOverage < 0 || b.AllowanceSlack < 0 {
 		c.report("bounds.allowanceOverage", "must not be negative")
 	}
+	if b.RunnerDrain.Duration < 0 {
+		c.report("bounds.runnerDrain", "must not be negative")
+	}
 	if b.RetryRatio < 0 || b.RetrySlack < 0 {
 		c.report("bounds.repeatRatio", "must not be negative")
 	}
--- a/transport/gateway/exchange.go
+++ b/transport/gateway/exchange.go
@@ -143,8 +143,9 @@
 	if x.peer != "" {
 		return x.forward(ctx)
 	}
-	now := clock.Now()
 	g := x.gateway
+	g.confirmRunner(ctx, x.choice.Runner.ID)
+	now := clock.Now()
 	if !x.recordSent(now) {
 		return lifecycle.NotSent{}
 	}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/zinniaroute/zinniaroute/coordination/gathering"
 	"github.com/zinniaroute/zinniaroute/coordination/ownership"
@@ -114,6 +115,9 @@
 	receivedChanges       uint64
 	// entryGrace says how long runners that a listing lacked stay in the directory.
 	entryGrace *fleet.EntryGrace
+	// confirmations says which runners the store has confirmed, and confirming joins the calls of requests for the same one.
+	confirmations *fleet.Confirmations
+	confirming    singleflight.Group
 	// runnerEntries holds the runners' entries as last read, without their revisions.
 	runnerEntries map[string]fleet.Runner
 	crashes       crashState
@@ -227,6 +231,7 @@
 		pace:          relay.NewPace(s.LinkMbps),
 		crashes:       newCrashState(),
 		runnerEntries: make(map[string]fleet.Runner),
+		confirmations: fleet.NewConfirmations(),
 		ownedRunners:  make(map[string]*ownedRunner),
 		loadPermits:   pacing.NewPermits(),
 		orphanedSince: make(map[string]time.Time),
--- a/transport/gateway/metrics.go
+++ b/transport/gateway/metrics.go
@@ -43,6 +43,8 @@
 	forwards = expvar.NewMap("gatewayForwards")
 	// reportsDropped counts the reports of VMs that gave up while theirs waited for others.
 	reportsDropped = expvar.NewInt("gatewayReportsDropped")
+	// confirmations counts the runners that the store was asked for as the list was old, by its answer.
+	confirmations = expvar.NewMap("gatewayConfirmations")
 	// runnersTurnedAway counts the requests that brittle runners turned away.
 	runnersTurnedAway = expvar.NewInt("brittleTurnedAway")
 	// runnerFailures counts the failed connections to runners that this VM saw, and the runners that it avoids since others did.
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -359,6 +359,7 @@
 func (g *Gateway) forgetRunners(now time.Time, ids []string) {
 	for _, id := range ids {
 		g.scheduler.Remove(now, id)
+		g.confirmations.Remove(id)
 		g.log.Emit(eventlog.RunnerEntryChanged, id, string(fleet.ChangeRemoved), "", "", 0)
 	}
 }
@@ -458,6 +459,7 @@
 		}
 		if change := g.directory.Remove(id); change != fleet.ChangeNone {
 			g.scheduler.Remove(now, id)
+			g.confirmations.Remove(id)
 			g.log.Emit(eventlog.RunnerEntryChanged, id, string(change), "", "", item.Revision)
 		}
 		return true
