Refuse what a later configuration may allow when the content is old

The same cause as late requests to runners that have left: a VM acts on content whose age it knows.

When the content is older than the time within which a configuration must be in force, less half a second, the VM answers 503 with a Retry-After of 0.5 s. The request has not run, so that the promise of 503 holds. Not covered: a route that is known, and that a later configuration sends elsewhere or drops.

--- a/integration/gateway_harness_test.go
+++ b/integration/gateway_harness_test.go
@@ -189,7 +189,7 @@
   "name": %q, "domain": "a", "address": "127.0.0.1", "callers": %q, "readiness": %q, "ports": [%d, %d],
   "store": %q, "memoryMB": 256, "prefillReservations": true,
   "bounds": {
-    "grace": "8s", "takeOver": "3s", "runnerDrain": "2s", "repeatRatio": 0.2, "repeatSlack": 50,
+    "grace": "8s", "takeOver": "3s", "runnerDrain": "2s", "configurationDelay": "2s", "repeatRatio": 0.2, "repeatSlack": 50,
     "repeatWindow": "10s", "loadWindow": "5s", "loadOverage": 1.1
   }
 }`
--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -218,6 +218,21 @@
 	assert.Equal(t, len(d.runners["p1"].Runs()), before, "requests reach the runner that drains")
 }
 
+// A VM whose calls to read the store take too long must not tell callers that a route does not exist, after which they do not retry.
+func TestRouteIsDeniedByAnOldConfiguration(t *testing.T) {
+	d := servingDeployment(t)
+	assert.Equal(t, d.send("vm-1", "/later/x", "").status, 404)
+	d.store.Faults.Set(fault.Faults{Delay: document.NewDuration(10 * time.Second), PathContains: "kv-watch"})
+	time.Sleep(time.Second)
+	d.configure(2, 10_000, plainRoute("later"))
+	time.Sleep(2 * time.Second)
+	refused := d.send("vm-1", "/later/x", "")
+	assert.Equal(t, refused.status, 503)
+	d.store.Faults.Set(fault.Faults{})
+	waitUntil(t, "the new route is served", func() bool { return d.send("vm-1", "/later/x", "").status == 200 })
+	assert.Equal(t, d.send("vm-1", "/never/x", "").status, 404)
+}
+
 func TestGatewayServesDuringStoreOutage(t *testing.T) {
 	d := servingDeployment(t)
 	d.store.Faults.Set(fault.Faults{Down: true})
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -47,6 +47,9 @@
 	// RunnerDrain is the time for which a runner goes on serving after the store has accepted that it leaves. Zero means that it is
 	// not known: VMs then use old lists of runners without asking the store.
 	RunnerDrain document.Duration `json:"runnerDrain"`
+	// ConfigurationDelay is the time within which a configuration must be in force at all VMs. Zero means that it is not known: VMs then
+	// answer by an old configuration that a route does not exist.
+	ConfigurationDelay document.Duration `json:"configurationDelay"`
 	// RetryRatio and RetrySlack limit the retries of all VMs within RetryWindow: a share of the requests, plus a fixed
 	// number.
 	RetryRatio  float64           `json:"repeatRatio"`
@@ -128,6 +131,9 @@
 	if b.RunnerDrain.Duration < 0 {
 		c.report("bounds.runnerDrain", "must not be negative")
 	}
+	if b.ConfigurationDelay.Duration < 0 {
+		c.report("bounds.configurationDelay", "must not be negative")
+	}
 	if b.RetryRatio < 0 || b.RetrySlack < 0 {
 		c.report("bounds.repeatRatio", "must not be negative")
 	}
--- a/transport/gateway/callers.go
+++ b/transport/gateway/callers.go
@@ -98,7 +98,9 @@
 	route := table.Match(string(c.Request.Header.Host()), requestPath(c))
 	if route == nil {
 		g.log.Emit(eventlog.NoRoute, request.ID, string(c.Request.Header.Host()), requestPath(c), table.Version)
-		g.writeStatus(c, request.ID, statusNotFound, 0)
+		if !g.refuseByOldConfiguration(now, c, request.ID) {
+			g.writeStatus(c, request.ID, statusNotFound, 0)
+		}
 		return
 	}
 	workspace, reason := authenticate(table, route, &c.Request.Header)
@@ -120,6 +122,21 @@
 	g.serveRouted(ctx, x, callerTimeout)
 }
 
+// refuseByOldConfiguration refuses a request that a later configuration than this VM's may allow, and reports whether it did. Callers do
+// not retry after the statuses 401 and 404, as they do after this refusal.
+func (g *Gateway) refuseByOldConfiguration(now time.Time, c *app.RequestContext, attempt string) bool {
+	delay := g.bounds().ConfigurationDelay.Duration
+	g.mu.Lock()
+	age := now.Sub(g.syncedAt)
+	g.mu.Unlock()
+	if delay == 0 || age < max(delay-sendMargin, sendMargin) {
+		return false
+	}
+	refusedByOldConfiguration.Add(1)
+	g.writeStatus(c, attempt, statusServiceUnavailable, noConfigurationRetryAfter)
+	return true
+}
+
 // serveRouted serves a request whose route is known, within the timeout of the caller if that is positive.
 func (g *Gateway) serveRouted(ctx context.Context, x *exchange, callerTimeout time.Duration) {
 	now, route := x.request.ArrivedAt, x.route
--- a/transport/gateway/metrics.go
+++ b/transport/gateway/metrics.go
@@ -45,6 +45,9 @@
 	reportsDropped = expvar.NewInt("gatewayReportsDropped")
 	// confirmations counts the runners that the store was asked for as the list was old, by its answer.
 	confirmations = expvar.NewMap("gatewayConfirmations")
+	// refusedByOldConfiguration counts the requests without a route, or with an unknown key, that this VM refused because it may lack a
+	// later configuration.
+	refusedByOldConfiguration = expvar.NewInt("gatewayRefusedByOldConfiguration")
 	// runnersTurnedAway counts the requests that brittle runners turned away.
 	runnersTurnedAway = expvar.NewInt("brittleTurnedAway")
 	// runnerFailures counts the failed connections to runners that this VM saw, and the runners that it avoids since others did.
--- a/transport/gateway/workspaces.go
+++ b/transport/gateway/workspaces.go
@@ -23,6 +23,7 @@
 	// the VM, which callers do not know.
 	headerBodyUnread = "Zinniaroute-Body-Unread"
 	reasonBodyUnread = "no valid key before the body"
+	reasonUnknownKey = "an unknown key"
 	// unauthorizedRetryAfter is the time after which a caller may retry whose VM does not check keys yet. Configurations reach
 	// all VMs within 3 s.
 	unauthorizedRetryAfter = time.Second
@@ -43,7 +44,7 @@
 	if reason == "" {
 		found, ok := table.Workspaces.Find(key)
 		if workspace = found; !ok {
-			reason = "an unknown key"
+			reason = reasonUnknownKey
 		}
 	}
 	if route.Public {
@@ -105,6 +106,9 @@
 		// What follows on the connection may be the body.
 		c.SetConnectionClose()
 	}
+	if reason == reasonUnknownKey && g.refuseByOldConfiguration(request.ArrivedAt, c, request.ID) {
+		return
+	}
 	g.writeStatus(c, request.ID, statusUnauthorized, 0)
 	platform.SetChallenge(&c.Response.Header)
 }
