--- a/integration/gateway_copies_test.go
+++ b/integration/gateway_copies_test.go
@@ -83,8 +83,10 @@
 		// A refused stream waits for another runner of the model.
 		c.requests = 3
 		for _, status := range []int{503, 421} {
-			form := modelrunner.Form{Status: status, Copy: &modelrunner.Copy{WithNext: true}}
-			c.checkForm(oddForm{fmt.Sprint(status, ", copied with the next request"), form}, modelPath, "large")
+			for _, path := range []string{modelPath, resumePath} {
+				form := modelrunner.Form{Status: status, Copy: &modelrunner.Copy{WithNext: true}}
+				c.checkForm(oddForm{fmt.Sprint(path, ": ", status, ", copied with the next request"), form}, path, "large")
+			}
 		}
 	})
 	t.Run("forwarded", func(t *testing.T) {
