Leave a new start of a runner to the watch when it is confirmed

Applying it hid the start from the watch, so that the runs that it had ended were not recorded as crashes of their requests. The content's age is checked four times a second instead of ten, for the processor time of small VMs.

--- a/transport/gateway/confirm.go
+++ b/transport/gateway/confirm.go
@@ -81,8 +81,8 @@
 		g.log.Emit(eventlog.RunnerEntryUnreadable, id, item.Revision, err)
 		return
 	}
-	if g.directory.Get(id) == nil {
-		// It was removed meanwhile.
+	if listed := g.directory.Get(id); listed == nil || listed.Incarnation != runner.Incarnation {
+		// The watch or a view also shows which runs a new start has ended.
 		return
 	}
 	if change := g.directory.Put(now, runner); change != fleet.ChangeNone {
--- a/transport/gateway/content_age.go
+++ b/transport/gateway/content_age.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	contentAgeCheckInterval = 100 * time.Millisecond
+	contentAgeCheckInterval = 250 * time.Millisecond
 	// oldContentAge is the age of the known content of the store above which a VM logs what it waits for. Without a failure the
 	// content is at most watchTimeout + watchInterval old at the aggregator, and by one interval of the reports older elsewhere.
 	oldContentAge = 2 * time.Second
