Leave new bounds out of the settings of the build before

The soak with an earlier program at every other start failed at once: that program rejects settings that it does not know.

--- a/integration/gateway_harness_test.go
+++ b/integration/gateway_harness_test.go
@@ -189,11 +189,14 @@
   "name": %q, "domain": "a", "address": "127.0.0.1", "callers": %q, "readiness": %q, "ports": [%d, %d],
   "store": %q, "memoryMB": 256, "prefillReservations": true,
   "bounds": {
-    "grace": "8s", "takeOver": "3s", "runnerDrain": "2s", "configurationDelay": "2s", "repeatRatio": 0.2, "repeatSlack": 50,
+    "grace": "8s", "takeOver": "3s",%s "repeatRatio": 0.2, "repeatSlack": 50,
     "repeatWindow": "10s", "loadWindow": "5s", "loadOverage": 1.1
   }
 }`
 
+// addedBounds are the bounds that the build before does not know.
+const addedBounds = ` "runnerDrain": "2s", "configurationDelay": "2s",`
+
 // addGateway starts a gateway and waits until it is ready.
 func (d *deployment) addGateway(name string) gatewayNode {
 	d.t.Helper()
@@ -216,7 +219,11 @@
 	}
 	link, storeAddress := d.startLinkProxy(d.storeAddress)
 	d.storeLinks[name] = link
-	text := fmt.Sprintf(settingsText, name, node.callers, node.readiness, first, first+internalPorts-1, storeAddress)
+	added := addedBounds
+	if d.programBefore != "" {
+		added = ""
+	}
+	text := fmt.Sprintf(settingsText, name, node.callers, node.readiness, first, first+internalPorts-1, storeAddress, added)
 	assert.NilError(d.t, os.WriteFile(node.settings, []byte(text), 0o600))
 	d.gateways[name] = node
 	d.startProcess(name, "gateway", "--settings", node.settings)
