--- a/review/drive2/deployment.go
+++ b/review/drive2/deployment.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -16,6 +17,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/zinniaroute/zinniaroute/transport/group"
 )
 
 const host = "shop.example"
@@ -54,6 +57,7 @@
 
 // deployment is a store, runners and gateways.
 type deployment struct {
+	tasks     *group.Group
 	record    *record
 	directory string
 	store     *store
@@ -66,7 +70,28 @@
 	if err != nil {
 		panic(err)
 	}
-	return &deployment{record: r, directory: directory, store: newStore()}
+	tasks, err := group.New(context.Background())
+	if err != nil {
+		panic(err)
+	}
+	d := &deployment{tasks: tasks, record: r, directory: directory, store: newStore()}
+	d.run("end leases", d.store.endLeases)
+	return d
+}
+
+// run runs a task until the program ends.
+func (d *deployment) run(name string, task func()) {
+	d.tasks.Run(name, func(context.Context) { task() })
+}
+
+// serve serves HTTP on a free port until the server is closed, and returns its address.
+func (d *deployment) serve(server *http.Server) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	d.run("serve HTTP", func() { _ = server.Serve(listener) })
+	return listener.Addr().String()
 }
 
 // settings has the fields of deploy/settings.jsonc with the bounds of a small deployment.
@@ -111,7 +136,7 @@
 		log: filepath.Join(d.directory, name+".log"),
 	}
 	path := filepath.Join(d.directory, name+".jsonc")
-	text := fmt.Sprintf(settings, name, zone, g.callers, g.readiness, g.firstPort, g.firstPort+internalPorts-1, d.store.open())
+	text := fmt.Sprintf(settings, name, zone, g.callers, g.readiness, g.firstPort, g.firstPort+internalPorts-1, d.serve(&http.Server{Handler: d.store}))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		panic(err)
 	}
@@ -132,11 +157,11 @@
 		panic(err)
 	}
 	g.exited = make(chan struct{})
-	go func() {
+	d.run("wait for "+name, func() {
 		_ = g.process.Wait()
 		d.record.line("process of %s ended: %s", g.name, g.process.ProcessState)
 		close(g.exited)
-	}()
+	})
 	d.gateways = append(d.gateways, g)
 	return g
 }
--- a/review/drive2/files.go
+++ b/review/drive2/files.go
@@ -13,6 +13,9 @@
 	// usualUsers is the number of users that keep a channel open, and burstFactor how many times as many come at once.
 	usualUsers  = 2400
 	burstFactor = 1.7
+	// usualGap and burstGap are the times between two users. The burst lasts less than 3 s.
+	usualGap = 4 * time.Millisecond
+	burstGap = 1700 * time.Microsecond
 )
 
 // playFiles lets many users come at once, each with one channel on which it asks for a status now and then.
@@ -22,7 +25,7 @@
 	ran := newRuns(d)
 	for i := range 3 {
 		r := &runner{id: fmt.Sprintf("i-%d", i), service: "booking", zone: "a", slots: 64, work: 60 * time.Millisecond, ran: ran.start}
-		r.start(d.store)
+		r.start(d)
 	}
 	g := d.addGateway("front-1", "a")
 	if !d.awaitReady(10 * time.Second) {
@@ -32,7 +35,7 @@
 	var served, refused, failed atomic.Int64
 	var stopping atomic.Bool
 	defer stopping.Store(true)
-	go g.askReady(&stopping)
+	d.run("ask whether ready", func() { g.askReady(&stopping) })
 	ran.book(g, &stopping)
 	look := func(c *channel, attempt string) bool {
 		a := c.send(request{attempt: attempt, method: "GET", path: "/look/x", budget: 3 * time.Second})
@@ -46,23 +49,24 @@
 		}
 		return a.err == nil
 	}
-	users := func(name string, count int) {
+	users := func(name string, count int, gap time.Duration) {
 		d.record.line("%d users of %s open a channel each and ask for a status", count, name)
+		begun := time.Now()
 		for i := range count {
-			go func() {
+			d.run("user", func() {
 				c, err := dial(g.callers)
 				for n := 0; err == nil && !stopping.Load() && look(c, fmt.Sprintf("%s-%d-%d", name, i, n)); n++ {
 					time.Sleep(10 * time.Second)
 				}
-			}()
-			time.Sleep(4 * time.Millisecond)
+			})
+			time.Sleep(time.Until(begun.Add(time.Duration(i+1) * gap)))
 		}
 	}
 	report := func() {
 		d.record.line("served %d, refused %d, failed %d; descriptors of the process: %d; it has ended: %v",
 			served.Load(), refused.Load(), failed.Load(), g.files(), g.ended())
 	}
-	users("usual", usualUsers)
+	users("usual", usualUsers, usualGap)
 	time.Sleep(2 * time.Second)
 	report()
 	if failed.Load() > 0 || served.Load() < usualUsers {
@@ -70,7 +74,7 @@
 	}
 	if trouble {
 		d.record.line("many users come at once")
-		users("burst", int((burstFactor-1)*usualUsers))
+		users("burst", int((burstFactor-1)*usualUsers), burstGap)
 	}
 	time.Sleep(3 * time.Second)
 	report()
--- a/review/drive2/head.go
+++ b/review/drive2/head.go
@@ -64,7 +64,7 @@
 		r.ran = func(id, attempt, path string) {
 			d.record.line("%s runs %s %s and sends the head of its answer", id, attempt, path)
 		}
-		r.start(d.store)
+		r.start(d)
 	}
 	g := d.addGateway("front-1", "a")
 	if !d.awaitReady(10 * time.Second) {
--- a/review/drive2/memory.go
+++ b/review/drive2/memory.go
@@ -17,6 +17,8 @@
 	// draftBytes is the size of the largest requests of the site file, and draftUsers the number of users that keep a channel.
 	draftBytes = 110_000
 	draftUsers = 1300
+	// draftGap is the time between two users of the burst, which lasts less than 3 s.
+	draftGap = 3 * time.Millisecond
 )
 
 // playMemory lets many users come at once. Each sends one long request, one after the other, and keeps the channel.
@@ -25,7 +27,7 @@
 	ran := newRuns(d)
 	for i := range 3 {
 		r := &runner{id: fmt.Sprintf("i-%d", i), service: "booking", zone: "a", slots: 64, work: 60 * time.Millisecond, ran: ran.start}
-		r.start(d.store)
+		r.start(d)
 	}
 	g := d.addGateway("front-1", "a")
 	if !d.awaitReady(10 * time.Second) {
@@ -34,39 +36,40 @@
 	time.Sleep(3 * time.Second)
 	var stopping atomic.Bool
 	defer stopping.Store(true)
-	go g.askReady(&stopping)
-	go d.limitMemory(g, &stopping)
+	d.run("ask whether ready", func() { g.askReady(&stopping) })
+	d.run("limit memory", func() { d.limitMemory(g, &stopping) })
 	ran.book(g, &stopping)
 	body := strings.Repeat("x", draftBytes)
 	var served atomic.Int64
 	var kept []*channel
-	users := func(name string, count int) {
+	users := func(name string, count int, gap time.Duration) {
+		begun := time.Now()
 		for i := 0; i < count && !g.ended(); i++ {
 			c, err := dial(g.callers)
 			if err != nil {
 				break
 			}
 			kept = append(kept, c)
-			go func() {
+			d.run("user", func() {
 				a := c.send(request{
 					attempt: fmt.Sprintf("%s-%d", name, i), method: "POST", path: "/look/x", body: body, budget: 3 * time.Second,
 				})
 				if a.status == 200 && a.complete {
 					served.Add(1)
 				}
-			}()
-			time.Sleep(12 * time.Millisecond)
+			})
+			time.Sleep(time.Until(begun.Add(time.Duration(i+1) * gap)))
 		}
 		time.Sleep(2 * time.Second)
 		d.record.line("%d channels are open, %d requests of %d bytes served, memory of the process %d MiB", len(kept), served.Load(), draftBytes, g.memoryMB())
 	}
-	users("usual", draftUsers)
+	users("usual", draftUsers, 3*usualGap)
 	if served.Load() < draftUsers {
 		return nil, fmt.Errorf("%d of %d usual users were served", served.Load(), draftUsers)
 	}
 	if trouble {
 		d.record.line("many users come at once")
-		users("burst", int((burstFactor-1)*draftUsers))
+		users("burst", int((burstFactor-1)*draftUsers), draftGap)
 	}
 	time.Sleep(5 * time.Second)
 	d.record.line("memory of the process %d MiB, with %d requests under way", g.memoryMB(), busyUsers)
--- a/review/drive2/release.go
+++ b/review/drive2/release.go
@@ -38,7 +38,7 @@
 		id: fmt.Sprintf("i-%03d", f.started), service: "booking", zone: "a", slots: 64, work: 400 * time.Millisecond, ran: f.ran.start,
 	}
 	f.started++
-	r.start(f.d.store)
+	r.start(f.d)
 	f.runners = append(f.runners, r)
 }
 
@@ -73,11 +73,11 @@
 	var served, failed atomic.Int64
 	var stopping atomic.Bool
 	defer stopping.Store(true)
-	go g.askReady(&stopping)
+	d.run("ask whether ready", func() { g.askReady(&stopping) })
 	f.ran.book(g, &stopping)
 	begun := time.Now()
 	for i := range waveUsers {
-		go func() {
+		d.run("user", func() {
 			c, err := dial(g.callers)
 			for n := 1; err == nil && !stopping.Load(); n++ {
 				time.Sleep(time.Until(begun.Add(2*time.Second + time.Duration(n)*wave)))
@@ -95,7 +95,7 @@
 					return
 				}
 			}
-		}()
+		})
 	}
 	report := func(when string) {
 		d.record.line("%s: served %d, failed %d, descriptors of the process %d", when, served.Load(), failed.Load(), g.files())
--- a/review/drive2/runner.go
+++ b/review/drive2/runner.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -20,17 +19,6 @@
 	Adapters []string `json:"adapters"`
 }
 
-// order is an order as it reached a runner.
-type order struct {
-	at        time.Time
-	runner    string
-	holder    string
-	fence     uint64
-	operation string
-	adapter   string
-	status    int
-}
-
 // runner is a stand-in of a model runner, or of a plain one if it has no models.
 type runner struct {
 	id, service, zone, address string
@@ -44,10 +32,7 @@
 	models   []loadedModel
 	sequence uint64
 	beats    uint64
-	orders   []order
-	// slow is by how much all work takes longer.
-	slow float64
-	runs map[string]int
+	runs     map[string]int
 	// leaving means that the runner drains, and gone that it has ended.
 	leaving, gone bool
 	server        *http.Server
@@ -55,19 +40,15 @@
 	ran func(runner, attempt, path string)
 }
 
-func (r *runner) start(s *store) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	r.address, r.bornMS, r.slow, r.runs = listener.Addr().String(), time.Now().UnixMilli(), 1, map[string]int{}
+func (r *runner) start(d *deployment) {
 	r.server = &http.Server{Handler: r}
-	go func() { _ = r.server.Serve(listener) }()
-	go func() {
-		for r.beat(s) {
+	r.bornMS, r.runs = time.Now().UnixMilli(), map[string]int{}
+	r.address = d.serve(r.server)
+	d.run("heartbeats", func() {
+		for r.beat(d.store) {
 			time.Sleep(1200 * time.Millisecond)
 		}
-	}()
+	})
 }
 
 // beat writes the runner's entry, unless the runner has ended.
@@ -175,9 +156,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	status := r.execute(o.Operation, o.Model, o.Adapter, o.Expected)
-	r.orders = append(r.orders, order{time.Now(), r.id, o.Holder, o.Fence, o.Operation, o.Model + "/" + o.Adapter, status})
-	w.WriteHeader(status)
+	w.WriteHeader(r.execute(o.Operation, o.Model, o.Adapter, o.Expected))
 }
 
 // execute carries out an order on adapters. Orders on weights are refused as if another were in progress.
@@ -219,7 +198,7 @@
 		return
 	}
 	r.runs[attempt]++
-	slow, stream := r.slow, name != ""
+	stream := name != ""
 	r.mu.Unlock()
 	if r.ran != nil {
 		r.ran(r.id, attempt, q.URL.Path)
@@ -229,7 +208,7 @@
 		select {
 		case <-q.Context().Done():
 			return false
-		case <-time.After(time.Duration(float64(d) * slow)):
+		case <-time.After(d):
 			return true
 		}
 	}
--- a/review/drive2/store.go
+++ b/review/drive2/store.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -54,15 +53,16 @@
 }
 
 func newStore() *store {
-	s := &store{revision: 1, items: map[string]item{}, leases: map[uint64]leaseState{}, changed: make(chan struct{})}
-	go func() {
-		for range time.Tick(20 * time.Millisecond) {
-			s.mu.Lock()
-			s.expire()
-			s.mu.Unlock()
-		}
-	}()
-	return s
+	return &store{revision: 1, items: map[string]item{}, leases: map[uint64]leaseState{}, changed: make(chan struct{})}
+}
+
+// endLeases ends leases in time for as long as the program runs.
+func (s *store) endLeases() {
+	for range time.Tick(20 * time.Millisecond) {
+		s.mu.Lock()
+		s.expire()
+		s.mu.Unlock()
+	}
 }
 
 // expire removes the keys of the leases that have ended. The caller must hold the lock.
@@ -257,14 +257,3 @@
 	}
 	return http.StatusNotFound, map[string]any{}
 }
-
-// open serves the store on a free port and returns its address.
-func (s *store) open() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	server := &http.Server{Handler: s}
-	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String()
-}
--- a/review/drive2/users.go
+++ b/review/drive2/users.go
@@ -48,7 +48,7 @@
 // book lets busy users send unsafe requests until they are stopped or their channels are closed.
 func (r *runs) book(g *gateway, stopping *atomic.Bool) {
 	for i := range busyUsers {
-		go func() {
+		r.d.run("busy user", func() {
 			c, err := dial(g.callers)
 			for n := 0; err == nil && !stopping.Load(); n++ {
 				attempt := fmt.Sprintf("busy-%d-%d", i, n)
@@ -61,7 +61,7 @@
 				}
 				time.Sleep(5 * time.Millisecond)
 			}
-		}()
+		})
 	}
 }
 
