--- a/integration/gateway_forms_test.go
+++ b/integration/gateway_forms_test.go
@@ -205,10 +205,14 @@
 	requests int
 	// repeats makes callers send an attempt that was refused a second time.
 	repeats bool
-	mu      sync.Mutex
+	// longBodies makes callers send bodies of longBodyBytes.
+	longBodies bool
+	mu         sync.Mutex
 	// statuses holds the status that the caller of an attempt got.
 	statuses map[string]int
 	foreign  int
+	// broken is the number of broken answers that callers took for whole ones.
+	broken int
 }
 
 // newFormCheck starts runners, of which one for each service is a process of its own.
@@ -273,7 +277,7 @@
 		form.Every = 1
 	}
 	c.setForm(form)
-	c.statuses, c.foreign = make(map[string]int), 0
+	c.statuses, c.foreign, c.broken = make(map[string]int), 0, 0
 	var calls sync.WaitGroup
 	for range formCallers {
 		calls.Go(func() {
@@ -322,7 +326,11 @@
 }
 
 func (c *formCheck) send(gateway, path, model string) {
-	request := newRequest(context.Background(), c.gateways[gateway], path, model, []byte("{}"))
+	body := []byte("{}")
+	if c.longBodies {
+		body = longBody()
+	}
+	request := newRequest(context.Background(), c.gateways[gateway], path, model, body)
 	if isPromise(c.sendOnce(request)) && c.repeats {
 		request.Body = io.NopCloser(strings.NewReader("{}"))
 		c.sendOnce(request)
@@ -335,11 +343,14 @@
 	if err != nil {
 		return 0
 	}
-	body, _ := io.ReadAll(response.Body)
+	body, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.statuses[request.Header.Get(caller.AttemptHeader)] = response.StatusCode
+	if err == nil && strings.Contains(string(body), brokenData) {
+		c.broken++
+	}
 	if strings.Contains(string(body), foreignBody) {
 		c.foreign++
 	}
--- a/standin/modelrunner/crash.go
+++ b/standin/modelrunner/crash.go
@@ -97,7 +97,7 @@
 	crash, crashed, down := r.crash, r.crashed, time.Now().Before(r.downUntil)
 	crashes := !down && crash.matches(c)
 	if crashes {
-		r.recordRun(c)
+		r.recordRun(newRun(c))
 	}
 	r.mu.Unlock()
 	switch {
--- a/standin/modelrunner/form.go
+++ b/standin/modelrunner/form.go
@@ -14,7 +14,7 @@
 	"github.com/zinniaroute/zinniaroute/transport/group"
 )
 
-// AttemptPlaceholder stands for the attempt of the request in the extra bytes of a form.
+// AttemptPlaceholder stands for the attempt of the request in the raw answer and the extra bytes of a form.
 const AttemptPlaceholder = "{attempt}"
 
 // Form describes answers of a runner that has run the request, but whose answers look like refusals, or whose connection
@@ -35,6 +35,11 @@
 	Delay  document.Duration `json:"delay"`
 	// Close closes the connection in place of the answer.
 	Close bool `json:"close"`
+	// Raw is sent in place of the answer, before the connection is closed.
+	Raw string `json:"raw"`
+	// Early sends Raw as soon as the head of a long request has arrived, and resets the connection before the body is read. Other
+	// requests get ordinary answers.
+	Early bool `json:"early"`
 	// Copy is nil if the runner runs the request, and otherwise says when a copy of its refusal follows.
 	Copy *Copy `json:"copy"`
 	// Control means that the form is the one of answers to reports and orders, not to requests.
@@ -69,7 +74,7 @@
 func (f *forms) next(control bool) Form {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.form.Copy != nil || f.form.Control != control || !f.counts() {
+	if f.form.Copy != nil || f.form.Early || f.form.Control != control || !f.counts() {
 		return Form{}
 	}
 	f.odd++
@@ -91,6 +96,12 @@
 		_ = c.GetConn().Close()
 		return true
 	}
+	if form.Raw != "" {
+		_, _ = c.GetConn().WriteBinary(form.rawFor(string(c.GetHeader(headerAttempt))))
+		_ = c.GetConn().Flush()
+		_ = c.GetConn().Close()
+		return true
+	}
 	if form.Before != "" {
 		if conn := r.connections.find(c.RemoteAddr()); conn != nil {
 			_, _ = conn.Write([]byte(form.Before))
@@ -137,12 +148,16 @@
 type connections struct {
 	net.Listener
 	group *group.Group
-	mu    sync.Mutex
-	open  map[string]*extendedConn
+	// answerEarly returns the answer to a request whose head has arrived, if the request is answered before its body is read.
+	answerEarly func(read []byte) (answer []byte, ok bool)
+	mu          sync.Mutex
+	open        map[string]*extendedConn
 }
 
-func newConnections(g *group.Group, listener net.Listener) *connections {
-	return &connections{Listener: listener, group: g, open: make(map[string]*extendedConn)}
+func newConnections(
+	g *group.Group, listener net.Listener, answerEarly func(read []byte) (answer []byte, ok bool),
+) *connections {
+	return &connections{Listener: listener, group: g, answerEarly: answerEarly, open: make(map[string]*extendedConn)}
 }
 
 // Accept accepts a connection.
--- a/standin/modelrunner/runner.go
+++ b/standin/modelrunner/runner.go
@@ -217,7 +217,7 @@
 	if r.options.Address.IsValid() {
 		r.address = r.options.Address.String()
 	}
-	r.connections = newConnections(g, listener)
+	r.connections = newConnections(g, listener, r.answerEarly)
 	server := httpserve.NewServer(r.connections, httpserve.DefaultBounds(), false)
 	server.Use(r.Received.Handle)
 	server.GET(recorder.Path, func(context.Context, *app.RequestContext) {})
@@ -440,8 +440,7 @@
 
 // recordRun records that a request runs, unless it is a health check, which is no request of a caller. The caller must hold the
 // lock.
-func (r *Runner) recordRun(c *app.RequestContext) {
-	run := newRun(c)
+func (r *Runner) recordRun(run Run) {
 	if run.Attempt == "" && run.Path == HealthPath {
 		return
 	}
@@ -463,7 +462,7 @@
 		c.SetStatusCode(statusMisdirected)
 		return 0, 0, false
 	}
-	r.recordRun(c)
+	r.recordRun(newRun(c))
 	if r.unsealedAnswers > 0 {
 		r.unsealedAnswers--
 	} else {
