Refuse responses with a status that HTTP does not define

Callers saw: a runner's answer with status 000 arrived as a sealed 200, and 600 and 999 as they were: plain safe and unsafe, streamed, forwarded. An order that was answered 000 counted as carried out, one that was answered 600 as refused, though its result is unknown; a transaction of the store likewise. Cause: the check of the status line allowed any three digits, and the HTTP library reports the status 0 as 200. Statuses below 100 were skipped as interim responses and counted as a lost connection, and so was 101, which nothing here asks for. Change: a response has a status from 100 to 599 (RFC 9110, section 15) other than 101. Others are no response: the call may have reached the peer, and its connection is reset.

--- a/integration/gateway_broken_test.go
+++ b/integration/gateway_broken_test.go
@@ -95,3 +95,18 @@
 func TestAnswerWithAMalformedHeadReachesCallers(t *testing.T) {
 	checkBrokenForms(t, malformedHeadForms(), false)
 }
+
+func invalidStatusForms() []oddForm {
+	var forms []oddForm
+	for _, status := range []string{"000", "001", "099", "101", "600", "999", "2000"} {
+		forms = append(forms, oddForm{
+			"status " + status, modelrunner.Form{Raw: brokenAnswer(withLength("HTTP/1.1 " + status + " Status"))},
+		})
+	}
+	return forms
+}
+
+// A runner answers with a status that HTTP does not define, or that no request asks for.
+func TestAnswerWithAnInvalidStatusReachesCallers(t *testing.T) {
+	checkBrokenForms(t, invalidStatusForms(), false)
+}
--- a/transport/framing/framing.go
+++ b/transport/framing/framing.go
@@ -13,10 +13,13 @@
 	"github.com/pkg/errors"
 )
 
-// statusLine matches the first line of a response (RFC 9112, section 4).
-var statusLine = regexp.MustCompile(`^HTTP/1\.([0-9]) [0-9]{3}(?: |$)`)
+// statusLine matches the first line of a response with a status that is defined (RFC 9112, section 4, and RFC 9110, section 15).
+var statusLine = regexp.MustCompile(`^HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: |$)`)
 
 const (
+	// statusSwitchingProtocols answers a request to upgrade the connection, which this system never sends.
+	statusSwitchingProtocols = "101"
+
 	fieldContentLength    = "Content-Length"
 	fieldTransferEncoding = "Transfer-Encoding"
 	fieldHost             = "Host"
@@ -46,15 +49,19 @@
 // the end of the response. The head begins with the status line and ends with the empty line.
 func CheckResponse(head []byte) error {
 	line, raw, _ := bytes.Cut(head, []byte("\n"))
-	status := statusLine.FindSubmatch(bytes.TrimSuffix(line, []byte("\r")))
-	if status == nil {
+	match := statusLine.FindSubmatch(bytes.TrimSuffix(line, []byte("\r")))
+	if match == nil {
 		return errors.Errorf("status line %q", line)
 	}
+	version, status := string(match[1]), string(match[2])
+	if status == statusSwitchingProtocols {
+		return errors.Errorf("status %s without a request to upgrade", status)
+	}
 	fields, err := readFields(raw)
 	if err != nil {
 		return err
 	}
-	return checkEnd(fields, string(status[1]) != "0")
+	return checkEnd(fields, version != "0")
 }
 
 // isVisible reports whether no byte is a space or a control character.
--- a/transport/httpcall/framing_test.go
+++ b/transport/httpcall/framing_test.go
@@ -11,7 +11,7 @@
 // A response whose end is ambiguous would be passed on with a part of its body, or with bytes that are none of it, and look
 // complete.
 func TestResponseWithAnAmbiguousEndIsTakenForAWholeOne(t *testing.T) {
-	tests := []struct{ name, response string }{
+	tests := []malformedResponseTest{
 		{"the length is that of the body, then shorter", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 2\r\n\r\nright"},
 		{"the length is shorter, then that of the body", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 5\r\n\r\nright"},
 		{"two lengths in one field", "HTTP/1.1 200 OK\r\nContent-Length: 5, 2\r\nContent-Length: 2\r\n\r\nright"},
@@ -25,6 +25,27 @@
 		{"a status of four digits", "HTTP/1.1 2000 OK\r\nContent-Length: 5\r\n\r\nright"},
 		{"a status of two digits", "HTTP/1.1 20 OK\r\nContent-Length: 5\r\n\r\nright"},
 	}
+	checkMalformed(t, tests)
+}
+
+// The HTTP library reports the status 000 as 200, and passes on those above 599.
+func TestResponseWithAnInvalidStatusIsTakenForAWholeOne(t *testing.T) {
+	var tests []malformedResponseTest
+	for _, status := range []string{"000", "001", "099", "101", "600", "999", "0200", "-20", "2e2"} {
+		tests = append(tests, malformedResponseTest{status, "HTTP/1.1 " + status + " OK\r\nContent-Length: 5\r\n\r\nright"})
+	}
+	// An interim response is skipped. This one must not be, although a response follows it.
+	tests = append(tests, malformedResponseTest{"101 before a response", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: odd\r\n\r\n" +
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright"})
+	checkMalformed(t, tests)
+}
+
+// malformedResponseTest is a response that is none in HTTP.
+type malformedResponseTest struct{ name, response string }
+
+// checkMalformed checks that no response is taken for one, and that the requests may have run.
+func checkMalformed(t *testing.T, tests []malformedResponseTest) {
+	t.Helper()
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			p, address := newPeer(t)
