Check the head that follows a 100 Continue

Callers saw: after a 100, an answer with status 000 arrived as a sealed 200, and one with a blank in the name of a field as a whole answer: plain safe and unsafe, streamed, forwarded. Reports, orders, status checks and calls to the store believed them as well. Cause: after a head with status 100 the HTTP library reads the next one itself, so that it was never checked. Change: each head is read by a call of its own, after its check; a 100 is skipped as the other interim responses are.

--- a/integration/gateway_broken_test.go
+++ b/integration/gateway_broken_test.go
@@ -29,7 +29,7 @@
 		brokenBody
 }
 
-// withLength returns a field with the length of the body of broken answers.
+// withLength adds the length of the body of broken answers to a head.
 func withLength(start string) string {
 	return fmt.Sprintf("%s\r\nContent-Length: %d", start, len(brokenBody))
 }
@@ -81,13 +81,15 @@
 	add := func(name, start string) {
 		forms = append(forms, oddForm{name, modelrunner.Form{Raw: brokenAnswer(start)}})
 	}
-	const ok = "HTTP/1.1 200 OK"
+	const ok, interim = "HTTP/1.1 200 OK", "HTTP/1.1 100 Continue\r\n\r\n"
 	for _, name := range []string{"X Odd", "X\tOdd", "X\x00Odd", "X\x7fOdd", "X\rOdd", "X-Odd ", " X-Odd"} {
 		add(fmt.Sprintf("field name %q", name), withLength(ok)+"\r\n"+name+": odd")
 	}
 	add("line without a colon", withLength(ok)+"\r\nX-Odd")
 	add("length with a blank before the colon", ok+"\r\nContent-Length : 2")
 	add("control byte in a field value", withLength(ok)+"\r\nX-Odd: a\x01b")
+	add("status 000 after an interim answer", withLength(interim+"HTTP/1.1 000 Status"))
+	add("field name with a blank after an interim answer", withLength(interim+ok)+"\r\nX Odd: odd")
 	return forms
 }
 
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -221,7 +221,8 @@
 		if err := checkHead(e.conn); err != nil {
 			return &Error{Stage: StageHeader, Cause: err}
 		}
-		if err := resp.ReadHeaders(e.Response, e.conn); err != nil {
+		// ReadHeaders would read the head after a 100 too, before it is checked.
+		if err := resp.ReadHeader(&e.Response.Header, e.conn); err != nil {
 			return &Error{Stage: StageHeader, Cause: headerCause(e.conn, err)}
 		}
 		interim := e.Response.StatusCode() < minFinalStatus
--- a/transport/httpcall/framing_test.go
+++ b/transport/httpcall/framing_test.go
@@ -40,6 +40,20 @@
 	checkMalformed(t, tests)
 }
 
+// The head after an interim response is checked like the first one.
+func TestMalformedHeadAfterAnInterimResponseIsTakenForAWholeOne(t *testing.T) {
+	var tests []malformedResponseTest
+	for _, interim := range []string{"100 Continue", "103 Early Hints"} {
+		for _, start := range []string{"000 OK", "999 OK", "200 OK\r\nX Odd: odd", "200 OK\r\nX\x01Odd: odd", "200 OK\r\nContent-Length: 2"} {
+			tests = append(tests, malformedResponseTest{
+				interim + ", " + start,
+				"HTTP/1.1 " + interim + "\r\n\r\nHTTP/1.1 " + start + "\r\nContent-Length: 5\r\n\r\nright",
+			})
+		}
+	}
+	checkMalformed(t, tests)
+}
+
 // malformedResponseTest is a response that is none in HTTP.
 type malformedResponseTest struct{ name, response string }
 
