Refuse control bytes in and before the status line of a response

Callers saw: an answer whose reason phrase held a carriage return and a field ("200 OK<CR>X-Odd: odd") arrived as a whole answer, plain safe and unsafe, streamed, forwarded; so did one with a carriage return before the protocol. Cause: the check of the status line ended with the status, and carriage returns before it were skipped as empty lines. Change: a reason phrase has no control bytes but tabs (RFC 9112, section 4), and only whole empty lines are skipped. TestUnusualStatusLinesAreRead shows what is still read: no or an empty phrase, bytes above 0x7f, empty lines, HTTP/1.0.

--- a/transport/framing/framing.go
+++ b/transport/framing/framing.go
@@ -13,8 +13,9 @@
 	"github.com/pkg/errors"
 )
 
-// statusLine matches the first line of a response with a status that is defined (RFC 9112, section 4, and RFC 9110, section 15).
-var statusLine = regexp.MustCompile(`^HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: |$)`)
+// statusLine matches the first line of a response with a status that is defined and a reason phrase without control bytes (RFC 9112,
+// section 4, and RFC 9110, section 15).
+var statusLine = regexp.MustCompile(`^HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
 
 const (
 	// statusSwitchingProtocols answers a request to upgrade the connection, which this system never sends.
--- a/transport/httpcall/conn.go
+++ b/transport/httpcall/conn.go
@@ -126,7 +126,10 @@
 // cutHead returns the bytes from the status line to the empty line that ends the head. It skips empty lines before it, as
 // the HTTP library does, and reports false if the head is incomplete.
 func cutHead(buffered []byte) (head []byte, complete bool) {
-	head = bytes.TrimLeft(buffered, "\r\n")
+	head = buffered
+	for bytes.HasPrefix(head, []byte("\r\n")) || bytes.HasPrefix(head, []byte("\n")) {
+		head = head[bytes.IndexByte(head, '\n')+1:]
+	}
 	for _, end := range []string{"\n\r\n", "\n\n"} {
 		if i := bytes.Index(head, []byte(end)); i >= 0 {
 			head, complete = head[:i+len(end)], true
--- a/transport/httpcall/framing_test.go
+++ b/transport/httpcall/framing_test.go
@@ -54,6 +54,16 @@
 	checkMalformed(t, tests)
 }
 
+func TestControlByteInAStatusLineIsTakenForAPartOfIt(t *testing.T) {
+	const rest = "\r\nContent-Length: 5\r\n\r\nright"
+	checkMalformed(t, []malformedResponseTest{
+		{"line end in the reason phrase", "HTTP/1.1 200 OK\rX-Odd: odd" + rest},
+		{"0x00 in the reason phrase", "HTTP/1.1 200 O\x00K" + rest},
+		{"0x7f in the reason phrase", "HTTP/1.1 200 O\x7fK" + rest},
+		{"line end before the protocol", "\rHTTP/1.1 200 OK" + rest},
+	})
+}
+
 // malformedResponseTest is a response that is none in HTTP.
 type malformedResponseTest struct{ name, response string }
 
@@ -77,3 +87,16 @@
 		})
 	}
 }
+
+// Recipients may be lenient in these.
+func TestUnusualStatusLinesAreRead(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.1 200 \u00fcber\tall", "HTTP/1.1 200 \xfcber", "\r\n\nHTTP/1.1 200 OK", "HTTP/1.0 299 Odd",
+	} {
+		p, address := newPeer(t)
+		p.serve(t, line+"\r\nContent-Length: 5\r\n\r\nright")
+		result, err := NewClient(time.Second).Fetch(t.Context(), address, NewRequest("GET", address, "/", nil), time.Second, 100)
+		assert.NilError(t, err, "%q", line)
+		assert.Equal(t, string(result.Body), "right")
+	}
+}
