Refuse responses with a length that is no number

Callers saw: an answer with a Content-Length that is no number, followed by a list of trailers, arrived as a whole answer that ended where the connection ended: plain safe and unsafe, streamed, forwarded. Reports, orders, status checks and calls to the store believed it too. Cause: the HTTP library reads a body without a valid length until the connection closes; its error is replaced by the result of the next list of trailers. Without such a list the library's error counted as a lost connection, which puts the path to the runners in doubt. Change: the check of a head refuses lengths other than digits up to 63 bits (RFC 9110, section 8.6).

--- a/integration/gateway_broken_test.go
+++ b/integration/gateway_broken_test.go
@@ -88,6 +88,9 @@
 	add("line without a colon", withLength(ok)+"\r\nX-Odd")
 	add("length with a blank before the colon", ok+"\r\nContent-Length : 2")
 	add("control byte in a field value", withLength(ok)+"\r\nX-Odd: a\x01b")
+	for _, length := range []string{"", "2x"} {
+		add(fmt.Sprintf("length %q and trailers", length), ok+"\r\nTrailer: X-Odd\r\nContent-Length: "+length+"\r\nTrailer: X-Odd")
+	}
 	add("line end in the reason phrase", withLength(ok+"\rX-Odd: odd"))
 	add("status 000 after an interim answer", withLength(interim+"HTTP/1.1 000 Status"))
 	add("field name with a blank after an interim answer", withLength(interim+ok)+"\r\nX Odd: odd")
--- a/transport/framing/framing.go
+++ b/transport/framing/framing.go
@@ -7,6 +7,7 @@
 	"net/textproto"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -90,10 +91,18 @@
 	return fields, nil
 }
 
+// maxLengthBits is the number of bits of the largest length of a body.
+const maxLengthBits = 63
+
 // checkEnd returns an error if more than one field says where the body ends, or if one does so in an unknown way. HTTP/1.0
 // has no transfer codings.
 func checkEnd(fields textproto.MIMEHeader, codingsDefined bool) error {
 	lengths, codings := fields[fieldContentLength], fields[fieldTransferEncoding]
+	for _, length := range lengths {
+		if _, err := strconv.ParseUint(length, 10, maxLengthBits); err != nil {
+			return errors.Errorf("message has length %q", length)
+		}
+	}
 	switch {
 	case len(lengths) > 1 && len(slices.Compact(slices.Clone(lengths))) > 1:
 		return errors.Errorf("message names %d lengths: %q", len(lengths), lengths)
--- a/transport/httpcall/framing_test.go
+++ b/transport/httpcall/framing_test.go
@@ -64,6 +64,20 @@
 	})
 }
 
+// The HTTP library reads a body until the connection closes if its length is no number and a list of trailers follows.
+func TestResponseWithALengthThatIsNoNumberIsTakenForAWholeOne(t *testing.T) {
+	var tests []malformedResponseTest
+	for _, length := range []string{"", "+2", "-2", "-0", "2x", "0x2", "2 2", "2,2", "2.0", "1e1", "99999999999999999999", "21000000000000000000"} {
+		start := "HTTP/1.1 200 OK\r\nContent-Length: " + length
+		tests = append(
+			tests,
+			malformedResponseTest{length, start + "\r\n\r\nright"},
+			malformedResponseTest{length + " and trailers", start + "\r\nTrailer: X-Odd\r\n\r\nright"},
+		)
+	}
+	checkMalformed(t, tests)
+}
+
 // malformedResponseTest is a response that is none in HTTP.
 type malformedResponseTest struct{ name, response string }
 
