Pass resets through the stand-in proxy

Cause: the proxy closed the connection to a caller when the one to its target was reset, and held megabytes of an upload that the target did not read; a caller behind it saw a proper end in place of a reset in the midst of its upload. Change: the proxy resets the caller's connection if a read from the target or a write to it failed, and buffers 64 KiB to the target.

--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -23,8 +24,11 @@
 const FaultsPath = "/standin/faults"
 
 const (
-	bufferBytes        = 16 << 10
-	dialTimeout        = time.Second
+	bufferBytes = 16 << 10
+	dialTimeout = time.Second
+	// socketBufferBytes is the size of the buffers for data to the target, so that a caller's write waits for a target that does not
+	// read.
+	socketBufferBytes  = 64 << 10
 	freezePollInterval = 10 * time.Millisecond
 	statusOK           = 200
 	statusBadRequest   = 400
@@ -72,6 +76,36 @@
 	caller, target net.Conn
 	// name returns the name of the caller.
 	name func() string
+	// writing is held during a write to the target, and guards targetFailed, which means that one failed.
+	writing      sync.Mutex
+	targetFailed bool
+}
+
+// writeToTarget writes data to the target.
+func (l *link) writeToTarget(data []byte) error {
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	_, err := l.target.Write(data)
+	l.targetFailed = l.targetFailed || failed(err)
+	return err
+}
+
+// failed reports whether an error is one of the connection, not of the proxy's own doing.
+func failed(err error) bool {
+	return err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// closeCaller closes the connection to the caller, when a read from the target has ended with an error or nil. It resets it if the
+// target's was reset, which a write may have met instead of the read.
+func (l *link) closeCaller(readError error) {
+	_ = l.target.SetWriteDeadline(time.Now())
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	if l.targetFailed || failed(readError) {
+		reset(l.caller)
+		return
+	}
+	_ = l.caller.Close()
 }
 
 // Proxy forwards connections to one target.
@@ -199,6 +233,16 @@
 	}
 }
 
+// limitBuffers limits the data for the target that the kernel holds.
+func limitBuffers(caller, target net.Conn) {
+	if tcp, ok := caller.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(socketBufferBytes)
+	}
+	if tcp, ok := target.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(socketBufferBytes)
+	}
+}
+
 // reset closes a connection with a reset.
 func reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
@@ -215,6 +259,7 @@
 		return
 	}
 	defer func() { _ = targetConn.Close() }()
+	limitBuffers(callerConn, targetConn)
 	l.target = targetConn
 	p.track(l, true)
 	defer p.track(l, false)
@@ -230,8 +275,7 @@
 		// Closing the connection shows the target that the caller has disconnected.
 		_ = targetConn.Close()
 	})
-	p.forwardToCaller(ctx, l)
-	_ = callerConn.Close()
+	l.closeCaller(p.forwardToCaller(ctx, l))
 	_ = targetConn.Close()
 	<-done
 }
@@ -239,7 +283,8 @@
 // forwardToTarget forwards the data of a caller to the target and sends it a second time if Duplicate is set.
 func (p *Proxy) forwardToTarget(ctx context.Context, l *link) {
 	var sent []byte
-	p.forward(ctx, l, l.caller, l.target, func(f Faults, data []byte) bool {
+	// An error of the target is kept in the link, and one of the caller ends the connection to the target all the same.
+	_ = p.forward(ctx, l, l.caller, l.writeToTarget, func(f Faults, data []byte) bool {
 		if f.Duplicate {
 			sent = append(sent, data...)
 		}
@@ -265,9 +310,14 @@
 	_, _ = io.Copy(io.Discard, conn)
 }
 
-// forwardToCaller forwards the data of the target to the caller. It stops when the answer is to be dropped.
-func (p *Proxy) forwardToCaller(ctx context.Context, l *link) {
-	p.forward(ctx, l, l.target, l.caller, func(f Faults, data []byte) bool {
+// forwardToCaller forwards the data of the target to the caller. It stops when the answer is to be dropped, and returns the error of
+// a read from the target.
+func (p *Proxy) forwardToCaller(ctx context.Context, l *link) error {
+	write := func(data []byte) error {
+		_, err := l.caller.Write(data)
+		return err
+	}
+	return p.forward(ctx, l, l.target, write, func(f Faults, data []byte) bool {
 		if f.DropAnswers > 0 && p.consumeDrop() {
 			return false
 		}
@@ -289,8 +339,10 @@
 	return true
 }
 
-// forward copies data of a link until a connection or the filter ends it.
-func (p *Proxy) forward(ctx context.Context, l *link, from, to net.Conn, filter func(f Faults, data []byte) bool) {
+// forward copies data of a link until a connection or the filter ends it. It returns the error of a read.
+func (p *Proxy) forward(
+	ctx context.Context, l *link, from net.Conn, write func(data []byte) error, filter func(f Faults, data []byte) bool,
+) error {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
@@ -298,14 +350,14 @@
 			faults := p.current(l)
 			group.Sleep(ctx, faults.Delay.Duration)
 			if !filter(faults, buffer[:n]) {
-				return
+				return nil
 			}
-			if _, err := to.Write(buffer[:n]); err != nil {
-				return
+			if write(buffer[:n]) != nil {
+				return nil
 			}
 		}
 		if err != nil {
-			return
+			return err
 		}
 	}
 }
