Refuse a body without a length if the upload met the end of its connection

Callers saw: a runner answers an upload of 3.9 MB at once with a 200 without a length, sends a part of the body and resets the connection; the part arrived as a whole answer: plain safe and unsafe, forwarded, and streamed if the part ends between two events. A transaction of the store that was answered so counted as committed. Cause: a request of more than 8 KiB is written while its response is read, and the kernel reports the error of a connection once. When the write gets the reset, the read finds the end of the connection, which is the end of a body that has no other. Change: at such an end the write is ended by a deadline and its result is read. An error other than the deadline's means that the connection failed: io.ErrUnexpectedEOF. The deadline comes after the read has met the end, so it hides no earlier error. An endpoint that answers early and closes its side only is read whole, also if the rest of the upload stays unread, without waiting for the upload.

--- a/integration/gateway_broken_test.go
+++ b/integration/gateway_broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -116,3 +117,20 @@
 func TestAnswerWithAnInvalidStatusReachesCallers(t *testing.T) {
 	checkBrokenForms(t, invalidStatusForms(), false)
 }
+
+func earlyForms() []oddForm {
+	return []oddForm{
+		{"part of a body without a length", modelrunner.Form{Early: true, Raw: brokenAnswer("HTTP/1.1 200 OK")}},
+		{"part of a body of HTTP/1.0", modelrunner.Form{Early: true, Raw: brokenAnswer("HTTP/1.0 200 OK")}},
+		{"part of a body with a length", modelrunner.Form{Early: true, Raw: brokenAnswer("HTTP/1.1 200 OK\r\nContent-Length: 1000")}},
+		{"part of a body in chunks", modelrunner.Form{Early: true, Raw: strings.Replace(
+			brokenAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"), brokenBody,
+			fmt.Sprintf("%x\r\n%s\r\n", len(brokenBody), brokenBody), 1,
+		)}},
+	}
+}
+
+// A runner answers a long upload at once and resets the connection while the upload is being written.
+func TestPartOfAnAnswerToALongUploadReachesCallers(t *testing.T) {
+	checkBrokenForms(t, earlyForms(), true)
+}
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -121,8 +122,11 @@
 	conn       network.Conn
 	stopCancel func() bool
 	ended      bool
-	// writeResult delivers the result of writing a long request.
+	// writeResult delivers the result of writing a long request. It is nil for others, which are written before the response is read.
 	writeResult chan error
+	// writeEnded means that the result has been delivered, and writeError is its error.
+	writeEnded bool
+	writeError error
 	// reused means that the connection has carried other calls.
 	reused bool
 	// name is the name of the request, or empty.
@@ -300,19 +304,50 @@
 	return n, err
 }
 
+// untilCloseBody reads a body that ends with its connection.
+type untilCloseBody struct{ exchange *Exchange }
+
+// Read reads from the connection. It returns io.ErrUnexpectedEOF if the connection did not end properly.
+func (u untilCloseBody) Read(p []byte) (int, error) {
+	n, err := u.exchange.conn.Read(p)
+	if errors.Is(err, io.EOF) && u.exchange.writeBroken() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// writeBroken ends the writing of the request and reports whether the connection failed meanwhile. The kernel reports the error of a
+// connection once: if the write gets it, reads return io.EOF as if the endpoint had closed the connection.
+func (e *Exchange) writeBroken() bool {
+	if e.writeResult == nil {
+		return false
+	}
+	if !e.writeEnded {
+		// A write that waits ends at once. This fails only if the connection is closed, which ends it too.
+		_ = e.conn.SetWriteDeadline(time.Now())
+		e.recordWrite(<-e.writeResult)
+	}
+	return e.writeError != nil && !errors.Is(e.writeError, os.ErrDeadlineExceeded)
+}
+
 // writeIncomplete reports whether the request is not completely written yet, or could not be written.
 func (e *Exchange) writeIncomplete() bool {
 	if e.writeResult == nil {
 		return false
 	}
-	select {
-	case err := <-e.writeResult:
-		return err != nil
-	default:
-		return true
+	if !e.writeEnded {
+		select {
+		case err := <-e.writeResult:
+			e.recordWrite(err)
+		default:
+			return true
+		}
 	}
+	return e.writeError != nil
 }
 
+func (e *Exchange) recordWrite(err error) { e.writeEnded, e.writeError = true, err }
+
 func withContextCause(ctx context.Context, err error) error {
 	cause := ctx.Err()
 	var failed *Error
@@ -341,7 +376,7 @@
 // Body returns a reader of the response body.
 func (e *Exchange) Body() io.Reader {
 	if e.untilClose {
-		return e.conn
+		return untilCloseBody{e}
 	}
 	if e.fixed != nil {
 		return e.fixed
