Refuse announced trailers with malformed names or values

Callers of the own interface's plain services saw: a trailer that a response announces was passed on with a tab in its name or a control byte in its value. Callers of the platform's routes saw nothing of it, as their answers have no trailers. Cause: trailers come after the head, which is all that was checked, and the HTTP library refuses only names with a blank. Change: the names in the head's list of trailers must be tokens, and the values of announced trailers have no control bytes but tabs. Trailers that are not announced are dropped by the library; a body before them is whole, as the last chunk has arrived (RFC 9112, section 8). Result: TestMalformedTrailersAreTakenForSoundOnes fails before in 3 of 4 cases and passes now; sound trailers are passed on (TestPlainServiceResponseIsForwarded).

--- a/transport/framing/framing.go
+++ b/transport/framing/framing.go
@@ -18,6 +18,9 @@
 // section 4, and RFC 9110, section 15).
 var statusLine = regexp.MustCompile(`^HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
 
+// token matches the name of a field (RFC 9110, section 5.6.2).
+var token = regexp.MustCompile("^[-!#$%&'*+.^_`|~0-9A-Za-z]+$")
+
 const (
 	// statusSwitchingProtocols answers a request to upgrade the connection, which this system never sends.
 	statusSwitchingProtocols = "101"
@@ -25,6 +28,7 @@
 	fieldContentLength    = "Content-Length"
 	fieldTransferEncoding = "Transfer-Encoding"
 	fieldHost             = "Host"
+	fieldTrailer          = "Trailer"
 	codingChunked         = "chunked"
 )
 
@@ -63,9 +67,28 @@
 	if err != nil {
 		return err
 	}
+	for _, list := range fields[fieldTrailer] {
+		for name := range strings.SplitSeq(list, ",") {
+			if name = strings.Trim(name, " \t"); name != "" && !token.MatchString(name) {
+				return errors.Errorf("trailer name %q", name)
+			}
+		}
+	}
 	return checkEnd(fields, version != "0")
 }
 
+// CheckTrailer returns an error if the value of an announced trailer field has control bytes. The HTTP library drops fields that are not
+// announced.
+func CheckTrailer(trailer *protocol.Trailer) error {
+	var err error
+	trailer.VisitAll(func(name, value []byte) {
+		if bytes.ContainsFunc(value, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
+			err = errors.Errorf("trailer %s has value %q", name, value)
+		}
+	})
+	return err
+}
+
 // isVisible reports whether no byte is a space or a control character.
 func isVisible(text []byte) bool {
 	return !bytes.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r == 0x7f })
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -20,6 +20,8 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/semaphore"
+
+	"github.com/zinniaroute/zinniaroute/transport/framing"
 )
 
 const (
@@ -384,20 +386,29 @@
 	if !e.Response.IsBodyStream() {
 		return eofReader{}
 	}
-	return guardedReader{e.Response.BodyStream()}
+	return guardedReader{e.Response.BodyStream(), e.Response.Header.Trailer()}
 }
 
 // guardedReader reads a body with the HTTP library, which panics at some malformed ones.
-type guardedReader struct{ reader io.Reader }
+type guardedReader struct {
+	reader  io.Reader
+	trailer *protocol.Trailer
+}
 
-// Read reads from the body. It returns an error in place of a panic.
+// Read reads from the body. It returns an error in place of a panic, and in place of io.EOF if the trailer is malformed.
 func (g guardedReader) Read(p []byte) (n int, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			n, err = 0, malformedResponse(cause)
 		}
 	}()
-	return g.reader.Read(p)
+	n, err = g.reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		if malformed := framing.CheckTrailer(g.trailer); malformed != nil {
+			err = errors.WithMessage(errNoResponse, malformed.Error())
+		}
+	}
+	return n, err
 }
 
 // malformedResponses counts the responses at which the HTTP library panicked.
--- a/transport/httpcall/framing_test.go
+++ b/transport/httpcall/framing_test.go
@@ -114,3 +114,28 @@
 		assert.Equal(t, string(result.Body), "right")
 	}
 }
+
+// The own interface passes the trailers on that a response announces. Others are dropped with what may be wrong with them: the last
+// chunk has shown the end of the body.
+func TestMalformedTrailersAreTakenForSoundOnes(t *testing.T) {
+	const start, body = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", "\r\n5\r\nright\r\n0\r\n"
+	checkMalformed(t, []malformedResponseTest{
+		{"announced name with a blank", start + "Trailer: X Odd\r\n" + body + "X Odd: odd\r\n\r\n"},
+		{"announced name with a tab", start + "Trailer: X-Sum, X\tOdd\r\n" + body + "X-Sum: 1\r\n\r\n"},
+		{"announced value with 0x01", start + "Trailer: X-Sum\r\n" + body + "X-Sum: 1\x012\r\n\r\n"},
+		{"announced value with a line end", start + "Trailer: X-Sum\r\n" + body + "X-Sum: 1\rX-Odd: odd\r\n\r\n"},
+	})
+	for _, rest := range []string{
+		"Trailer: X-Sum\r\n" + body, "Trailer: X-Sum\r\n" + body + "X-Sum: 1\r\n", "Trailer: X-Sum, X-Odd\r\n" + body, "Trailer:\r\n" + body,
+		body + "X\x01Odd: odd\r\n", body + "X-Odd: \x01\r\n",
+	} {
+		p, address := newPeer(t)
+		p.serve(t, start+rest+"\r\n")
+		result, err := NewClient(time.Second).Fetch(t.Context(), address, NewRequest("GET", address, "/", nil), time.Second, 100)
+		assert.NilError(t, err, "%q", rest)
+		assert.Equal(t, string(result.Body), "right")
+		result.Header.Trailer().VisitAll(func(_, value []byte) {
+			assert.Check(t, len(value) == 0 || string(value) == "1", "%q: %q is passed on", rest, value)
+		})
+	}
+}
