Let the soak's runners send broken answers

Cause: the odd answers of the soak's runners looked like refusals or like answers to other requests; none was outside HTTP or a part of one, and no caller sent an upload that the kernel does not buffer.

--- a/integration/soak_forms_test.go
+++ b/integration/soak_forms_test.go
@@ -13,7 +13,10 @@
 // formsOfSoak returns the forms of answers of the soak, without those that end the connection, which other faults do.
 func formsOfSoak() []oddForm {
 	var forms []oddForm
-	for _, all := range [][]oddForm{unstatedForms(), contradictoryForms(), unnamedForms(), outcomeForms(), copyForms()} {
+	for _, all := range [][]oddForm{
+		unstatedForms(), contradictoryForms(), unnamedForms(), outcomeForms(), copyForms(),
+		invalidStatusForms(), malformedHeadForms(), earlyForms(),
+	} {
 		for _, f := range all {
 			if !f.form.Close {
 				forms = append(forms, f)
@@ -45,6 +48,16 @@
 	}
 }
 
+// sendLongUploads sends long requests of each kind to random gateways until the context ends, to which runners may answer early.
+func (s *soak) sendLongUploads(ctx context.Context, vms []string, random *rand.Rand) {
+	kinds := []struct{ path, model string }{{modelPath, "large"}, {unsafePath, ""}, {safePath, ""}}
+	for ctx.Err() == nil {
+		kind, vm := kinds[random.IntN(len(kinds))], vms[random.IntN(len(vms))]
+		s.sendRequest(vm, kind.model, newRequest(context.Background(), s.gateways[vm], kind.path, kind.model, longBody()))
+		group.Sleep(ctx, time.Duration(50+random.IntN(200))*time.Millisecond)
+	}
+}
+
 func (s *soak) setForms(ids []string, process processRunner, form modelrunner.Form) {
 	for _, id := range ids {
 		s.runners[id].SetForm(form)
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -72,7 +72,8 @@
 // killed, stopped, paused and restarted; the store is down or slow, loses responses, or returns from an older copy; links are cut, frozen or slow; gateways are cut off
 // from all runners;
 // runners truncate streams, fail requests, crash on one of them, name limits, leave, rest, are brittle, and start again with another
-// version of their software, answer in forms that look like refusals or like the answers to other requests, and are paused;
+// version of their software, answer in forms that look like refusals or like the answers to other requests, or that are no answers in
+// HTTP or parts of answers, and are paused;
 // configurations change, and keys with them at odd seeds.
 func TestSoak(t *testing.T) {
 	testPorts.skip(*soakSkippedPorts)
@@ -130,6 +131,7 @@
 	callers.Go(func() { s.makeBrittle(ctx, rand.New(rand.NewPCG(seed, 10<<32))) })
 	if *soakForms {
 		callers.Go(func() { s.answerInForms(faultsContext, process, rand.New(rand.NewPCG(seed, 11<<32))) })
+		callers.Go(func() { s.sendLongUploads(faultsContext, vms, rand.New(rand.NewPCG(seed, 12<<32))) })
 	}
 	callers.Go(func() { s.departRunners(ctx, rand.New(rand.NewPCG(seed, 8<<32))) })
 	var partitions sync.WaitGroup
@@ -389,6 +391,8 @@
 	switch {
 	case strings.Contains(r.body, foreignBody):
 		s.violations = append(s.violations, attempt+" got an answer to another request")
+	case err == nil && strings.Contains(r.body, brokenData):
+		s.violations = append(s.violations, fmt.Sprint(attempt, " got a broken answer as a whole one, with status ", r.status))
 	case isPromise(r.status):
 		s.rejected[attempt] = true
 	case r.status != 200 || err != nil:
