List that long chunks of proper answers are refused

Cause: a read of a body asks the HTTP library for more bytes than the connection buffers. The callers of a proper answer in chunks of more than 64 KiB get a 502.

--- a/transport/httpcall/client_test.go
+++ b/transport/httpcall/client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -208,3 +209,15 @@
 		assert.Check(t, len(body) == 0, "%s: body %q", test.name, body)
 	}
 }
+
+func TestLongChunksAreRead(t *testing.T) {
+	for _, size := range []int{20_000, 100_000} {
+		p, address := newPeer(t)
+		body := strings.Repeat("x", size)
+		p.serve(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, body))
+		result, err := NewClient(time.Second).Fetch(t.Context(), address, NewRequest("GET", address, "/", nil), time.Second, 1<<20)
+		if assert.Check(t, err, "a chunk of %d bytes", size) {
+			assert.Check(t, string(result.Body) == body, "%d bytes of %d", len(result.Body), size)
+		}
+	}
+}
