Hold the half-closed connections of the upload test, and check status lines with one expression

Cause: the test closed a half-closed connection after 20 ms; a reader that gets the processor later than that sees the reset of a whole answer, which counts as broken. The check for 101 cost an allocation for each response. Change: the connection is held until the call has ended; the expression for the status line leaves out 101.

--- a/transport/framing/framing.go
+++ b/transport/framing/framing.go
@@ -14,22 +14,22 @@
 	"github.com/pkg/errors"
 )
 
-// statusLine matches the first line of a response with a status that is defined and a reason phrase without control bytes (RFC 9112,
-// section 4, and RFC 9110, section 15).
-var statusLine = regexp.MustCompile(`^HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
+// statusLine matches the first line of a response with a status from 100 to 599 and a reason phrase without control bytes (RFC 9112,
+// section 4, and RFC 9110, section 15). It leaves out 101, which answers a request to upgrade the connection: no request here is one.
+var statusLine = regexp.MustCompile(`^HTTP/1\.([0-9]) (?:10[02-9]|1[1-9][0-9]|[2-5][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
 
 // token matches the name of a field (RFC 9110, section 5.6.2).
 var token = regexp.MustCompile("^[-!#$%&'*+.^_`|~0-9A-Za-z]+$")
 
 const (
-	// statusSwitchingProtocols answers a request to upgrade the connection, which this system never sends.
-	statusSwitchingProtocols = "101"
-
 	fieldContentLength    = "Content-Length"
 	fieldTransferEncoding = "Transfer-Encoding"
 	fieldHost             = "Host"
 	fieldTrailer          = "Trailer"
 	codingChunked         = "chunked"
+
+	// maxLengthBits is the number of bits of the largest length of a body in bytes.
+	maxLengthBits = 63
 )
 
 // CheckRequest returns an error if recipients could disagree on the method, target, host or end of a request (RFC 9112,
@@ -59,22 +59,26 @@
 	if match == nil {
 		return errors.Errorf("status line %q", line)
 	}
-	version, status := string(match[1]), string(match[2])
-	if status == statusSwitchingProtocols {
-		return errors.Errorf("status %s without a request to upgrade", status)
-	}
 	fields, err := readFields(raw)
 	if err != nil {
 		return err
 	}
-	for _, list := range fields[fieldTrailer] {
+	if err := checkTrailerNames(fields[fieldTrailer]); err != nil {
+		return err
+	}
+	return checkEnd(fields, string(match[1]) != "0")
+}
+
+// checkTrailerNames returns an error if a list of announced trailer fields has a name that is none.
+func checkTrailerNames(lists []string) error {
+	for _, list := range lists {
 		for name := range strings.SplitSeq(list, ",") {
 			if name = strings.Trim(name, " \t"); name != "" && !token.MatchString(name) {
 				return errors.Errorf("trailer name %q", name)
 			}
 		}
 	}
-	return checkEnd(fields, version != "0")
+	return nil
 }
 
 // CheckTrailer returns an error if the value of an announced trailer field has control bytes. The HTTP library drops fields that are not
@@ -114,9 +118,6 @@
 	return fields, nil
 }
 
-// maxLengthBits is the number of bits of the largest length of a body.
-const maxLengthBits = 63
-
 // checkEnd returns an error if more than one field says where the body ends, or if one does so in an unknown way. HTTP/1.0
 // has no transfer codings.
 func checkEnd(fields textproto.MIMEHeader, codingsDefined bool) error {
--- a/transport/httpcall/upload_test.go
+++ b/transport/httpcall/upload_test.go
@@ -30,27 +30,28 @@
 	name string
 	// fails means that the response must not be taken for a whole one.
 	fails bool
-	end   func(conn *net.TCPConn)
+	// end gets a channel that is closed when the call has ended.
+	end func(conn *net.TCPConn, called <-chan struct{})
 }
 
 // uploadEnds returns ends at which the upload is not read.
 func uploadEnds() []uploadEnd {
 	return []uploadEnd{
-		{"reset", true, func(conn *net.TCPConn) {
+		{"reset", true, func(conn *net.TCPConn, _ <-chan struct{}) {
 			_ = conn.SetLinger(0)
 			_ = conn.Close()
 		}},
 		// The kernel resets a connection that is closed with bytes unread.
-		{"close", true, func(conn *net.TCPConn) { _ = conn.Close() }},
+		{"close", true, func(conn *net.TCPConn, _ <-chan struct{}) { _ = conn.Close() }},
 		// An endpoint that answers early closes its side, and reads what the caller still sends (RFC 9112, section 9.6).
-		{"end of one side, rest read", false, func(conn *net.TCPConn) {
+		{"end of one side, rest read", false, func(conn *net.TCPConn, _ <-chan struct{}) {
 			_ = conn.CloseWrite()
 			_, _ = io.Copy(io.Discard, conn)
 			_ = conn.Close()
 		}},
-		{"end of one side, rest not read", false, func(conn *net.TCPConn) {
+		{"end of one side, rest not read", false, func(conn *net.TCPConn, called <-chan struct{}) {
 			_ = conn.CloseWrite()
-			time.Sleep(20 * time.Millisecond)
+			<-called
 			_ = conn.Close()
 		}},
 	}
@@ -92,23 +93,25 @@
 }
 
 // uploadOnce sends a request with a body of a size to an endpoint that answers it before it has read it, and returns the body of the answer.
-func uploadOnce(t *testing.T, size int, answer string, end func(conn *net.TCPConn)) ([]byte, error) {
+func uploadOnce(t *testing.T, size int, answer string, end func(conn *net.TCPConn, called <-chan struct{})) ([]byte, error) {
 	t.Helper()
 	p, address := newPeer(t)
 	g, err := group.New(context.Background())
 	assert.NilError(t, err)
+	called := make(chan struct{})
 	g.Run("serve", func(context.Context) {
 		conn := (<-p.conns).(*net.TCPConn)
 		readHead(bufio.NewReader(conn))
 		_, _ = io.WriteString(conn, answer)
 		time.Sleep(time.Millisecond)
-		end(conn)
+		end(conn, called)
 	})
 	client := NewClient(time.Second)
 	request := NewRequest("POST", address, "/", bytes.Repeat([]byte("x"), size))
 	startedAt := time.Now()
 	result, err := client.Fetch(t.Context(), address, request, 5*time.Second, 1<<20)
 	assert.Check(t, time.Since(startedAt) < 4*time.Second, "the call waits for the end of the upload")
+	close(called)
 	client.Close()
 	assert.Check(t, g.Stop())
 	if err != nil {
