--- a/standin/engine/form.go
+++ b/standin/engine/form.go
@@ -19,6 +19,8 @@
 type Form struct {
 	Status int    `json:"status"`
 	Body   string `json:"body"`
+	// Raw is sent in place of an answer, before the connection is closed.
+	Raw string `json:"raw"`
 	// RefuseEvery is the number of calls of each path of which the engine refuses one with the form in place of running it, and
 	// sends a copy of the refusal before the next answer on the connection. Zero means none.
 	RefuseEvery int `json:"refuseEvery"`
@@ -78,6 +80,12 @@
 // answerInForm answers a completion that has run in the form that is set, and reports whether one is set.
 func (s *Server) answerInForm(c *app.RequestContext) bool {
 	form := s.form.Load()
+	if form != nil && form.Raw != "" {
+		_, _ = c.GetConn().WriteBinary([]byte(form.Raw))
+		_ = c.GetConn().Flush()
+		_ = c.GetConn().Close()
+		return true
+	}
 	if form == nil || form.Status == 0 || form.RefuseEvery > 0 {
 		return false
 	}
