Show that two machines order a runner after the store's first return

Cause: a process that starts after the store has returned from an older copy for the first time does not learn of it if eras count from 0, and claims a runner at once that another machine still orders.

Change: review case 12, a script, with the stand-in of the third review. It replaces the case of failed accepts, which review/7 shows already.

--- a/review/drive3/main.go
+++ b/review/drive3/main.go
@@ -1,21 +1,27 @@
 //go:build review
 
-// Command drive3 plays the script cases of the third review: it starts gateways of the deploy file as processes of their own, with
-// the platform, runners and users as stand-ins, and checks a rule by what these see.
+// Command drive3 plays the script case of the third review: it starts gateways of the deploy file as processes of their own, with
+// the platform's store, runners and clients as stand-ins, and checks a rule by what these see.
 package main
 
 import (
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"net/netip"
+	"net/url"
 	"os"
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -36,30 +42,28 @@
 )
 
 const (
-	host    = "desk.example"
-	prefix  = "/look/"
-	service = "desk"
-	// descriptors is the limit of each gateway process in the settings of the deployments of one region.
-	descriptors = 4100
-	// usualUsers is the number of users with a kept channel at each gateway, and burstFactor the largest burst of the site file.
-	usualUsers  = 2500
-	burstFactor = 1.7
-	burstTime   = 3 * time.Second
-	bursts      = 3
-	// A user waits from minPause to maxPause between two requests, which is less than four fifths of idle_timeout_ms.
-	minPause = 2 * time.Second
-	maxPause = 11 * time.Second
-	// rampTime is the time over which the users of a burst come.
-	rampTime = 2 * time.Second
-	// calmTime is the time before a burst, in which all users send requests on kept channels.
-	calmTime     = 13 * time.Second
-	restartDelay = 300 * time.Millisecond
-	// toleratedLosses is the number of requests of kept channels that a machine may pass on and leave without an answer.
-	toleratedLosses = 3
-	gatewayCount    = 2
-	runnerCount     = 6
-	// workTime is the usual time that the application of the site needs for a request.
-	workTime = 30 * time.Millisecond
+	host     = "desk.example"
+	prefix   = "/plan/"
+	service  = "planners"
+	model    = "m1"
+	adapters = 74
+	// The runners together have less room than there are adapters, so that orders come all the time.
+	slotsForAdapters = 8
+	firstRunners     = 2
+	newRunners       = 6
+	// requestPause is the time between two requests at one gateway.
+	requestPause = 25 * time.Millisecond
+	leaseTime    = 3 * time.Second
+
+	settleTime = 8 * time.Second
+	// copyAge is the age of the copy from which the store returns, and awayTime how long it is away.
+	copyAge  = 4 * time.Second
+	awayTime = 500 * time.Millisecond
+	// cutTime is how long one machine is cut off from the store.
+	cutTime = 6 * time.Second
+	afterIt = 4 * time.Second
+	// healTime is the time after the end of a cut in which orders of the machine do not count (thaw_ms).
+	healTime = 300 * time.Millisecond
 )
 
 // record writes the file record.txt.
@@ -69,67 +73,89 @@
 	start time.Time
 }
 
-func (r *record) line(format string, values ...any) {
+func (r *record) at(moment time.Time, format string, values ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.out, "%8.3f ", time.Since(r.start).Seconds())
+	fmt.Fprintf(r.out, "%8.3f ", moment.Sub(r.start).Seconds())
 	fmt.Fprintf(r.out, format+"\n", values...)
 }
 
-// gateway is a process of the system and what its platform and its users see of it.
+func (r *record) line(format string, values ...any) { r.at(time.Now(), format, values...) }
+
+// gateway is a process of the system, with its own link to the store.
 type gateway struct {
-	name             string
-	callers          string
-	readiness        string
-	settings         string
-	ends             atomic.Int64
-	open, mostOpen   atomic.Int64
-	answered, failed atomic.Int64
-	// unanswered holds the attempts on kept channels that ended without an answer.
-	unanswered attemptSet
+	name, callers, readiness string
+	link                     *storeLink
 }
 
-// attemptSet is a set of attempts.
-type attemptSet struct {
-	mu       sync.Mutex
-	attempts map[string]bool
+// storeLink forwards the calls of one machine to the store, and names the eras of the store.
+type storeLink struct {
+	proxy  *httputil.ReverseProxy
+	cut    *atomic.Bool
+	away   *atomic.Bool
+	mu     sync.Mutex
+	opened map[net.Conn]bool
 }
 
-func (s *attemptSet) add(attempt string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.attempts == nil {
-		s.attempts = make(map[string]bool)
+const headerEra = "Store-Era"
+
+// newStoreLink returns the link of a machine. The stand-in of the store counts its eras from one, the link from firstEra.
+func newStoreLink(store string, away *atomic.Bool, firstEra int) *storeLink {
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: store})
+	proxy.ModifyResponse = func(response *http.Response) error {
+		era, err := strconv.Atoi(response.Header.Get(headerEra))
+		if err == nil {
+			response.Header.Set(headerEra, strconv.Itoa(era-1+firstEra))
+		}
+		return err
 	}
-	s.attempts[attempt] = true
+	proxy.ErrorHandler = func(http.ResponseWriter, *http.Request, error) { panic(http.ErrAbortHandler) }
+	return &storeLink{proxy: proxy, cut: &atomic.Bool{}, away: away, opened: make(map[net.Conn]bool)}
 }
 
-// countIn returns the number of attempts that are in both sets.
-func (s *attemptSet) countIn(other *attemptSet) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	other.mu.Lock()
-	defer other.mu.Unlock()
-	count := 0
-	for attempt := range s.attempts {
-		if other.attempts[attempt] {
-			count++
-		}
+// ServeHTTP resets the channel while the machine is cut off or the store is away.
+func (l *storeLink) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if l.cut.Load() || l.away.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	l.proxy.ServeHTTP(w, r)
+}
+
+// reset ends the calls under way.
+func (l *storeLink) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.opened {
+		_ = conn.Close()
+	}
+}
+
+func (l *storeLink) track(conn net.Conn, state http.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(l.opened, conn)
+		return
 	}
-	return count
+	l.opened[conn] = true
 }
 
 type play struct {
-	record   *record
-	group    *group.Group
-	gateways []*gateway
-	attempts atomic.Int64
-	// ran holds the attempts that a runner has begun to work on.
-	ran      attemptSet
-	stopping atomic.Bool
-	commands sync.WaitGroup
-	mu       sync.Mutex
-	running  map[string]*exec.Cmd
+	program, folder string
+	record          *record
+	group           *group.Group
+	store           *metadata.Server
+	storeAddress    string
+	away            atomic.Bool
+	firstEra        int
+	runners         map[string]*modelrunner.Runner
+	attempts        atomic.Int64
+	mu              sync.Mutex
+	running         []*exec.Cmd
+	stopped         bool
+	// healed is the machine that was cut off, and healedAt the end of its cut.
+	healed   string
+	healedAt time.Time
 }
 
 func main() { os.Exit(run()) }
@@ -139,7 +165,6 @@
 		fmt.Fprintln(os.Stderr, "usage: drive3 PROGRAM FOLDER RECORD")
 		return exitCannotRun
 	}
-	program, folder := os.Args[1], os.Args[2]
 	file, err := os.Create(os.Args[3])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -152,7 +177,11 @@
 		return exitCannotRun
 	}
 	p := &play{
-		record: &record{out: bufio.NewWriter(file), start: time.Now()}, group: g, running: make(map[string]*exec.Cmd),
+		program: os.Args[1], folder: os.Args[2], group: g, store: metadata.NewServer(), runners: make(map[string]*modelrunner.Runner),
+		record: &record{out: bufio.NewWriter(file), start: time.Now()},
+	}
+	if os.Getenv("FIRST_ERA") == "1" {
+		p.firstEra = 1
 	}
 	defer func() { _ = p.record.out.Flush() }()
 	interrupted := make(chan os.Signal, 1)
@@ -162,98 +191,164 @@
 		p.stop()
 		os.Exit(exitCannotRun)
 	})
-	code, text := p.play(program, folder, os.Getenv("TROUBLE") != "0")
+	code, text := p.play(os.Getenv("TROUBLE") != "0")
 	p.stop()
 	p.record.line("%s", text)
 	fmt.Println(text)
 	return code
 }
 
-func (p *play) play(program, folder string, trouble bool) (int, string) {
-	store, err := p.startPlatform()
-	if err != nil {
+func (p *play) play(trouble bool) (int, string) {
+	if err := p.startStore(); err != nil {
 		return exitCannotRun, err.Error()
 	}
-	for i := range gatewayCount {
-		if err := p.addGateway(program, folder, store, i); err != nil {
+	if err := p.addRunners(firstRunners); err != nil {
+		return exitCannotRun, err.Error()
+	}
+	var gateways []*gateway
+	for _, name := range []string{"front-1", "front-2"} {
+		g, err := p.addGateway(name)
+		if err != nil {
 			return exitCannotRun, err.Error()
 		}
+		gateways = append(gateways, g)
 	}
-	for _, g := range p.gateways {
-		if !p.waitReady(g) {
-			return exitCannotRun, g.name + " is not ready"
-		}
+	time.Sleep(settleTime)
+	earlier := p.store.Copy()
+	p.record.line("the copy of the store is made")
+	if err := p.addRunners(newRunners); err != nil {
+		return exitCannotRun, err.Error()
 	}
-	always, endAlways := context.WithCancel(context.Background())
-	defer endAlways()
-	p.addUsers(always, usualUsers)
-	time.Sleep(calmTime)
-	for i := range bursts {
-		if trouble {
-			p.record.line("burst %d: %.1f times the users", i+1, burstFactor)
-			burst, end := context.WithTimeout(context.Background(), burstTime)
-			p.addUsers(burst, int(usualUsers*(burstFactor-1)))
-			<-burst.Done()
-			end()
-		} else {
-			time.Sleep(burstTime)
+	time.Sleep(copyAge - awayTime)
+	if trouble {
+		p.record.line("%s is cut off from the store", gateways[0].name)
+		gateways[0].link.cut.Store(true)
+		gateways[0].link.reset()
+		p.record.line("the store is away")
+		p.away.Store(true)
+		for _, g := range gateways {
+			g.link.reset()
 		}
-		time.Sleep(calmTime)
-	}
-	broken, text := false, ""
-	for _, g := range p.gateways {
-		lost := g.unanswered.countIn(&p.ran)
-		text += fmt.Sprintf(
-			"%s: ended by itself %d times, at most %d channels, %d answers, %d requests without one, %d of them from kept channels and run; ",
-			g.name, g.ends.Load(), g.mostOpen.Load(), g.answered.Load(), g.failed.Load(), lost,
-		)
-		broken = broken || lost > toleratedLosses
-	}
-	if broken {
-		return exitBroken, text + "the rule is broken"
+		time.Sleep(awayTime)
+		p.store.ReturnFrom(earlier)
+		p.away.Store(false)
+		p.record.line("the store is back from the copy")
+	} else {
+		time.Sleep(awayTime)
 	}
-	return exitHeld, text + "the rule holds"
-}
-
-// startPlatform starts the store and the runners, and returns the address of the store.
-func (p *play) startPlatform() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	added, err := p.addGateway("front-3")
 	if err != nil {
-		return netip.AddrPort{}, err
+		return exitCannotRun, err.Error()
 	}
-	store := metadata.NewServer()
-	store.Start(p.group, listener)
-	configuration, err := caller.Configuration(1, []caller.Route{{
-		Name: "look", Host: host, Prefix: prefix, Kind: "safe", TimeoutMS: 3000, TargetLatencyMS: 300, Service: service, MaxAttempts: 2,
-	}}, []caller.Service{{Name: service, HealthPath: modelrunner.HealthPath, MaxConnections: 110}})
-	if err != nil {
-		return netip.AddrPort{}, err
+	time.Sleep(cutTime - awayTime)
+	p.healed, p.healedAt = gateways[0].name, time.Now()
+	gateways[0].link.cut.Store(false)
+	p.record.line("%s reaches the store", gateways[0].name)
+	time.Sleep(afterIt)
+	if !ready(added) {
+		return exitCannotRun, added.name + " is not ready"
 	}
-	store.Put(caller.ConfigurationKey, configuration)
-	for i := range runnerCount {
-		if err := p.addRunner(store, fmt.Sprint("runner-", i+1)); err != nil {
-			return netip.AddrPort{}, err
+	return p.judge()
+}
+
+// judge counts the orders that runners took whose token is lower than one of an earlier order of another holder.
+func (p *play) judge() (int, string) {
+	orders, stale, turns := 0, 0, 0
+	for _, id := range p.ids() {
+		var highest modelrunner.Order
+		var last []modelrunner.Order
+		for _, o := range p.runners[id].Orders() {
+			orders++
+			p.record.at(o.At, "%s carries out an order of %s with token %d", id, o.Holder, o.Fence)
+			if since := o.At.Sub(p.healedAt); o.Holder == p.healed && since >= 0 && since < healTime {
+				continue
+			}
+			if highest.Holder != "" && o.Holder != highest.Holder && o.Fence < highest.Fence {
+				stale++
+				p.record.at(o.At, "%s: a lower token after a higher one", id)
+			}
+			if o.Fence >= highest.Fence {
+				highest = o
+			}
+			if n := len(last); n == 0 || last[n-1].Holder != o.Holder {
+				last = append(last, o)
+			} else {
+				last[n-1] = o
+			}
+			if n := len(last); n > 2 && o.At.Sub(last[n-3].At) < leaseTime && last[n-3].Holder == o.Holder {
+				turns++
+			}
 		}
 	}
-	return netip.MustParseAddrPort(listener.Addr().String()), nil
+	text := fmt.Sprintf(
+		"%d orders were carried out, %d of them with a lower token after a higher one of another holder, %d in turns within %v; ",
+		orders, stale, turns, leaseTime,
+	)
+	switch {
+	case orders == 0:
+		return exitCannotRun, text + "no order came"
+	case stale > 0:
+		return exitBroken, text + "the rule is broken"
+	default:
+		return exitHeld, text + "the rule holds"
+	}
+}
+
+func (p *play) ids() []string {
+	ids := make([]string, 0, len(p.runners))
+	for id := range p.runners {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
 }
 
-func (p *play) addRunner(store *metadata.Server, id string) error {
+// startStore starts the store with a configuration.
+func (p *play) startStore() error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	options := modelrunner.DefaultOptions(id, service)
-	options.Pause = workTime
-	options.Started = func(run modelrunner.Run) {
-		p.ran.add(run.Attempt)
-		p.record.line("ran %s at %s", run.Attempt, id)
+	p.storeAddress = listener.Addr().String()
+	p.store.Start(p.group, listener)
+	configuration, err := caller.Configuration(1, []caller.Route{{
+		Name: "plan", Host: host, Prefix: prefix, Kind: "streaming", TimeoutMS: 5000, TargetLatencyMS: 1000, Priority: 1,
+		Service: service, MaxAttempts: 1, GapTargetMS: 600,
+	}}, []caller.Service{{Name: service, HealthPath: modelrunner.HealthPath, MaxConnections: 370, Engine: &caller.Engine{
+		Slots: 64, KVCapacityTokens: 281_907, MemoryMB: 200, AdapterSlots: slotsForAdapters, LoadsPerS: 1.4,
+		Models: []caller.Model{{Name: model, MemoryMB: 70, LoadS: 1.2, WarmS: 0.2, DiskS: 0.4, Adapters: adapters, AdapterMB: 1}},
+	}}})
+	if err == nil {
+		p.store.Put(caller.ConfigurationKey, configuration)
+	}
+	return err
+}
+
+// addRunners starts runners that hold the model.
+func (p *play) addRunners(count int) error {
+	for range count {
+		id := fmt.Sprint("runner-", len(p.runners)+1)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		options := modelrunner.DefaultOptions(id, service)
+		options.MemoryMB, options.ModelMB, options.AdapterSlots = 200, 70, slotsForAdapters
+		options.Models = []modelrunner.Model{{Name: model, Version: 1, Adapters: []string{}}}
+		options.StreamEvents, options.Pause = 3, 5*time.Millisecond
+		options.Started = func(run modelrunner.Run) { p.record.line("ran %s at %s", run.Attempt, id) }
+		runner := modelrunner.New(options)
+		runner.Start(p.group, listener)
+		p.runners[id] = runner
+		p.record.line("%s starts", id)
+		p.group.Run("heartbeats of "+id, func(ctx context.Context) {
+			_ = group.Every(ctx, 1200*time.Millisecond, func(time.Time) {
+				if !p.away.Load() {
+					p.store.Put(caller.RunnerKeys+id, runner.Entry())
+				}
+			})
+		})
 	}
-	runner := modelrunner.New(options)
-	runner.Start(p.group, listener)
-	p.group.Run("heartbeats of "+id, func(ctx context.Context) {
-		_ = group.Every(ctx, 1200*time.Millisecond, func(time.Time) { store.Put(caller.RunnerKeys+id, runner.Entry()) })
-	})
 	return nil
 }
 
@@ -262,168 +357,107 @@
   "store": %q, "memoryMB": 284, "linkMbps": 1000, "storeWrites": 400, "prefillReservations": true,
   "bounds": {
     "grace": "8s", "takeOver": "3000ms", "runnerDrain": "2000ms", "configurationDelay": "2000ms", "repeatRatio": 0.2,
-    "repeatSlack": 52, "repeatWindow": "10s", "loadWindow": "5s", "loadOverage": 1.1
+    "repeatSlack": 58, "repeatWindow": "10s", "loadWindow": "5s", "loadOverage": 1.1
   }
 }`
 
-func (p *play) addGateway(program, folder string, store netip.AddrPort, i int) error {
-	ports, err := freePorts(18)
+// addGateway starts a gateway with its clients, who begin when it is ready.
+func (p *play) addGateway(name string) (*gateway, error) {
+	first, err := freePorts(18)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	g := &gateway{
-		name: fmt.Sprint("front-", i+1), callers: fmt.Sprint("127.0.0.1:", ports), readiness: fmt.Sprint("127.0.0.1:", ports+1),
+		name: name, callers: fmt.Sprint("127.0.0.1:", first), readiness: fmt.Sprint("127.0.0.1:", first+1),
+		link: newStoreLink(p.storeAddress, &p.away, p.firstEra),
 	}
-	g.settings = filepath.Join(folder, g.name+".jsonc")
-	text := fmt.Sprintf(settingsText, g.name, g.callers, g.readiness, ports+2, ports+17, store)
-	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
-		return err
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
 	}
-	p.gateways = append(p.gateways, g)
-	p.commands.Add(1)
-	p.group.Run("keep "+g.name, func(context.Context) {
-		defer p.commands.Done()
-		p.keepRunning(program, folder, g)
-	})
-	return nil
-}
-
-// keepRunning starts the process again after each end, as the platform does.
-func (p *play) keepRunning(program, folder string, g *gateway) {
-	for !p.stopping.Load() {
-		// The shell sets the limit of the settings and becomes the program.
-		command := exec.Command(
-			"/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec \"$0\" \"$@\"", descriptors), program, "gateway",
-			"--allowance-window=", "--allowance-overage=", "--allowance-slack=",
-		)
-		command.Env = append(os.Environ(), "ZINNIAROUTE_BOOT="+g.settings)
-		log, err := os.OpenFile(filepath.Join(folder, g.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-		if err != nil {
-			return
-		}
-		command.Stdout, command.Stderr = log, log
-		p.mu.Lock()
-		if p.stopping.Load() || command.Start() != nil {
-			p.mu.Unlock()
-			return
-		}
-		p.running[g.name] = command
-		p.mu.Unlock()
-		p.record.line("%s starts", g.name)
-		err = command.Wait()
-		_ = log.Close()
-		if !p.stopping.Load() {
-			g.ends.Add(1)
-			p.record.line("%s ended by itself with %d channels of users (%v)", g.name, g.open.Load(), err)
-			time.Sleep(restartDelay)
-		}
+	server := &http.Server{Handler: g.link, ConnState: g.link.track, ReadHeaderTimeout: time.Minute}
+	p.group.Run("link of "+name, func(context.Context) { _ = server.Serve(listener) })
+	settings := filepath.Join(p.folder, name+".jsonc")
+	text := fmt.Sprintf(settingsText, name, g.callers, g.readiness, first+2, first+17, listener.Addr())
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(p.folder, name+".log"))
+	if err != nil {
+		return nil, err
 	}
+	command := exec.Command(p.program, "gateway", "--allowance-window=", "--allowance-overage=", "--allowance-slack=")
+	command.Env = append(os.Environ(), "ZINNIAROUTE_BOOT="+settings)
+	command.Stdout, command.Stderr = log, log
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		return nil, context.Canceled
+	}
+	if err := command.Start(); err != nil {
+		return nil, err
+	}
+	p.running = append(p.running, command)
+	p.record.line("%s starts", name)
+	p.group.Run("clients of "+name, func(ctx context.Context) { p.send(ctx, g) })
+	return g, nil
 }
 
 func (p *play) stop() {
-	p.stopping.Store(true)
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopped = true
 	for _, command := range p.running {
 		_ = command.Process.Kill()
+		_ = command.Wait()
 	}
-	p.mu.Unlock()
-	p.commands.Wait()
-}
-
-func (p *play) waitReady(g *gateway) bool {
-	for range 200 {
-		response, err := http.Get("http://" + g.readiness + caller.ReadyPath)
-		if err == nil {
-			_ = response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return true
-			}
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	return false
-}
-
-// addUsers adds users at each gateway, who come evenly over rampTime and leave at the end of the context.
-func (p *play) addUsers(ctx context.Context, count int) {
-	for _, g := range p.gateways {
-		for i := range count {
-			comeAt := time.Duration(float64(rampTime) * float64(i) / float64(count))
-			p.group.Run("user", func(context.Context) {
-				if group.Sleep(ctx, comeAt) {
-					p.use(ctx, g)
-				}
-			})
-		}
-	}
+	p.running = nil
 }
 
-// use sends requests on a channel that the user keeps, and opens another one when it has lost it.
-func (p *play) use(ctx context.Context, g *gateway) {
-	for ctx.Err() == nil {
-		conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", g.callers)
-		if err != nil {
-			group.Sleep(ctx, 500*time.Millisecond)
-			continue
-		}
-		open := g.open.Add(1)
-		for most := g.mostOpen.Load(); open > most && !g.mostOpen.CompareAndSwap(most, open); most = g.mostOpen.Load() {
-		}
-		p.useChannel(ctx, g, conn)
-		_ = conn.Close()
-		g.open.Add(-1)
-		group.Sleep(ctx, 500*time.Millisecond)
+func ready(g *gateway) bool {
+	response, err := http.Get("http://" + g.readiness + caller.ReadyPath)
+	if err != nil {
+		return false
 	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
 }
 
-func (p *play) useChannel(ctx context.Context, g *gateway, conn net.Conn) {
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	reader := bufio.NewReaderSize(conn, 1024)
-	for kept := false; ctx.Err() == nil; kept = true {
-		attempt := fmt.Sprint("a", p.attempts.Add(1))
-		p.record.line("sent %s to %s", attempt, g.name)
-		_, err := fmt.Fprintf(
-			conn, "GET %sone HTTP/1.1\r\nHost: %s\r\nX-Zinniaroute-Attempt-Id: %s\r\nX-Zinniaroute-Deadline-Ms: 3000\r\n\r\n", prefix, host, attempt,
-		)
-		if err == nil {
-			err = p.readAnswer(reader, g, attempt)
-		}
-		if err != nil {
-			if ctx.Err() == nil {
-				g.failed.Add(1)
-				if kept {
-					g.unanswered.add(attempt)
-				}
-				p.record.line("no answer to %s: %v", attempt, err)
-			}
-			return
-		}
-		if !group.Sleep(ctx, minPause+rand.N(maxPause-minPause)) {
+// send sends requests for adapters in turn.
+func (p *play) send(ctx context.Context, g *gateway) {
+	for !ready(g) {
+		if !group.Sleep(ctx, 50*time.Millisecond) {
 			return
 		}
 	}
+	_ = group.Every(ctx, requestPause, func(time.Time) {
+		attempt := fmt.Sprint("a", p.attempts.Add(1))
+		p.group.Run("request", func(ctx context.Context) { p.request(ctx, g, attempt) })
+	})
 }
 
-func (p *play) readAnswer(reader *bufio.Reader, g *gateway, attempt string) error {
-	response, err := http.ReadResponse(reader, nil)
+func (p *play) request(ctx context.Context, g *gateway, attempt string) {
+	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
+	defer cancel()
+	request, err := caller.NewRequest(ctx, netip.MustParseAddrPort(g.callers), caller.Request{
+		Attempt: attempt, Host: host, Path: prefix + "one", Model: fmt.Sprint(model, "/a", 1+rand.IntN(adapters)),
+		Prompt: "a1:50," + attempt[1:] + ":50", Body: []byte("{}"),
+	})
 	if err != nil {
-		return err
+		return
 	}
-	defer func() { _ = response.Body.Close() }()
-	if _, err := bufio.NewReader(response.Body).WriteTo(discard{}); err != nil {
-		return err
+	p.record.line("sent %s to %s", attempt, g.name)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		p.record.line("no answer to %s: %v", attempt, err)
+		return
 	}
-	g.answered.Add(1)
-	p.record.line("answered %s: %d", attempt, response.StatusCode)
-	return nil
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	p.record.line("answered %s: %d, %d events (%v)", attempt, response.StatusCode, strings.Count(string(body), "id:"), err)
 }
 
-type discard struct{}
-
-func (discard) Write(data []byte) (int, error) { return len(data), nil }
-
-// The range of ports below those that the kernel gives to channels of users.
+// The range of ports below those that the kernel gives to the channels of clients.
 const firstPort, lastPort = 12000, 32000
 
 // freePorts returns the first of consecutive free ports.
