--- a/review/drive3/main.go
+++ b/review/drive3/main.go
@@ -46,11 +46,11 @@
 	prefix   = "/plan/"
 	service  = "planners"
 	model    = "m1"
-	adapters = 74
+	adapters = 99
 	// The runners together have less room than there are adapters, so that orders come all the time.
-	slotsForAdapters = 8
-	firstRunners     = 2
-	newRunners       = 6
+	slotsForAdapters = 5
+	firstRunners     = 7
+	newRunners       = 2
 	// requestPause is the time between two requests at one gateway.
 	requestPause = 25 * time.Millisecond
 	leaseTime    = 3 * time.Second
@@ -314,9 +314,9 @@
 	configuration, err := caller.Configuration(1, []caller.Route{{
 		Name: "plan", Host: host, Prefix: prefix, Kind: "streaming", TimeoutMS: 5000, TargetLatencyMS: 1000, Priority: 1,
 		Service: service, MaxAttempts: 1, GapTargetMS: 600,
-	}}, []caller.Service{{Name: service, HealthPath: modelrunner.HealthPath, MaxConnections: 370, Engine: &caller.Engine{
-		Slots: 64, KVCapacityTokens: 281_907, MemoryMB: 200, AdapterSlots: slotsForAdapters, LoadsPerS: 1.4,
-		Models: []caller.Model{{Name: model, MemoryMB: 70, LoadS: 1.2, WarmS: 0.2, DiskS: 0.4, Adapters: adapters, AdapterMB: 1}},
+	}}, []caller.Service{{Name: service, HealthPath: modelrunner.HealthPath, MaxConnections: 360, Engine: &caller.Engine{
+		Slots: 64, KVCapacityTokens: 241_266, MemoryMB: 220, AdapterSlots: slotsForAdapters, LoadsPerS: 2.1,
+		Models: []caller.Model{{Name: model, MemoryMB: 70, LoadS: 4, WarmS: 0.4, DiskS: 0.8, Adapters: adapters, AdapterMB: 1}},
 	}}})
 	if err == nil {
 		p.store.Put(caller.ConfigurationKey, configuration)
@@ -333,7 +333,7 @@
 			return err
 		}
 		options := modelrunner.DefaultOptions(id, service)
-		options.MemoryMB, options.ModelMB, options.AdapterSlots = 200, 70, slotsForAdapters
+		options.MemoryMB, options.ModelMB, options.AdapterSlots = 220, 70, slotsForAdapters
 		options.Models = []modelrunner.Model{{Name: model, Version: 1, Adapters: []string{}}}
 		options.StreamEvents, options.Pause = 3, 5*time.Millisecond
 		options.Started = func(run modelrunner.Run) { p.record.line("ran %s at %s", run.Attempt, id) }
@@ -357,7 +357,7 @@
   "store": %q, "memoryMB": 284, "linkMbps": 1000, "storeWrites": 400, "prefillReservations": true,
   "bounds": {
     "grace": "8s", "takeOver": "3000ms", "runnerDrain": "2000ms", "configurationDelay": "2000ms", "repeatRatio": 0.2,
-    "repeatSlack": 58, "repeatWindow": "10s", "loadWindow": "5s", "loadOverage": 1.1
+    "repeatSlack": 52, "repeatWindow": "10s", "loadWindow": "5s", "loadOverage": 1.1
   }
 }`
 
