Log which claims a VM has found, from where, and with which wait

Cause: event 305 shows a claim and its wait only when the store answers. Of a claim that arrives with the watch after a lost answer, logs and metrics tell neither that the VM orders by it nor since when it may. Change: event 305 also for own claims that a listing, the watch or another VM's view brings, with the source and the time until the first order; its revision is the fence in event 309. The metric gatewayOwnClaims counts them by source. Tests of coordination, eventlog, transport/gateway and layers pass.

--- a/coordination/ownership/tracker.go
+++ b/coordination/ownership/tracker.go
@@ -185,6 +185,11 @@
 	return uint64(claim.Revision), true
 }
 
+// Wait returns the time until this VM's claim on a runner allows its first order, or zero if that time has come.
+func (t *Tracker) Wait(now time.Time, runner string) time.Duration {
+	return max(0, t.orderAt[runner].Sub(now))
+}
+
 // PendingClaim is a runner that this VM should claim.
 type PendingClaim struct {
 	Runner string
--- a/eventlog/catalogue.go
+++ b/eventlog/catalogue.go
@@ -266,8 +266,8 @@
 	}
 	OwnerChanged = Event{
 		305, logrus.InfoLevel, "owner of a runner changes",
-		[]string{"runner", "change", "revision", "waitMs"},
-		"Nothing.",
+		[]string{"runner", "change", "revision", "waitMs", "source"},
+		"Nothing. The revision of a claim is the fence of the orders that it allows (309), which begin after waitMs.",
 	}
 	LoadPermitUnavailable = Event{
 		306, logrus.InfoLevel, "no load permit for the weight store; the load is retried",
--- a/transport/gateway/aggregator_test.go
+++ b/transport/gateway/aggregator_test.go
@@ -27,7 +27,7 @@
 			}
 			data, err := json.Marshal(value)
 			assert.NilError(t, err)
-			g.applyItems(now, []platform.Item{{Key: membersPrefix + name, Value: data, Revision: 1}})
+			g.applyItems(now, fromListing, []platform.Item{{Key: membersPrefix + name, Value: data, Revision: 1}})
 		}
 	}
 	return domainOf, fast
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -135,7 +135,7 @@
 }
 
 // applyOwner applies a change of a runner's owner key. The caller must hold the lock.
-func (g *Gateway) applyOwner(item platform.Item) {
+func (g *Gateway) applyOwner(now time.Time, source contentSource, item platform.Item) {
 	runner := strings.TrimPrefix(item.Key, ownersPrefix)
 	if item.Deleted {
 		g.owners.RemoveClaim(runner)
@@ -143,12 +143,16 @@
 	}
 	var value ownerValue
 	if err := json.Unmarshal(item.Value, &value); err != nil {
-		g.log.Emit(eventlog.OwnerChanged, runner, "unreadable: "+err.Error(), item.Revision, 0)
+		g.log.Emit(eventlog.OwnerChanged, runner, "unreadable: "+err.Error(), item.Revision, 0, source)
 		return
 	}
+	known := g.owners.Claim(runner).Revision
 	g.owners.SetClaim(runner, ownership.Claim{
 		VM: value.VM, Incarnation: value.Incarnation, Settled: value.Settled, Revision: item.Revision,
 	})
+	if value.VM == g.settings.Name && value.Incarnation == g.incarnation && known < item.Revision {
+		g.recordOwnClaim(now, runner, "claim found", source)
+	}
 }
 
 // claimRunners claims the runners that this VM should own, and starts sending orders to each that it owns.
@@ -196,7 +200,7 @@
 func (g *Gateway) claimRunner(ctx context.Context, era uint64, w ownership.PendingClaim) {
 	value, err := json.Marshal(ownerValue{VM: g.settings.Name, Incarnation: g.incarnation, Settled: w.OrderDelay == 0})
 	if err != nil {
-		g.log.Emit(eventlog.OwnerChanged, w.Runner, err.Error(), 0, 0)
+		g.log.Emit(eventlog.OwnerChanged, w.Runner, err.Error(), 0, 0, "")
 		return
 	}
 	key := ownersPrefix + w.Runner
@@ -211,7 +215,10 @@
 	})
 	if err != nil {
 		// After a lost answer the watch shows whether the claim was written. The first order waits for that.
-		g.log.Emit(eventlog.OwnerChanged, w.Runner, "not claimed: "+err.Error(), w.Revision, 0)
+		g.log.Emit(eventlog.OwnerChanged, w.Runner, "not claimed: "+err.Error(), w.Revision, 0, fromAnswer)
+		if errors.Is(err, platform.ErrUnknown) {
+			ownClaims.Add("unanswered", 1)
+		}
 		return
 	}
 	g.mu.Lock()
@@ -220,7 +227,15 @@
 		return
 	}
 	g.owners.RecordClaim(clock.Now(), w, revision)
-	g.log.Emit(eventlog.OwnerChanged, w.Runner, "claimed from "+w.FormerOwner, revision, w.OrderDelay.Milliseconds())
+	g.recordOwnClaim(clock.Now(), w.Runner, "claimed from "+w.FormerOwner, fromAnswer)
+}
+
+// recordOwnClaim logs and counts a claim of this process from which orders follow. The caller must hold the lock.
+func (g *Gateway) recordOwnClaim(now time.Time, runner, change string, source contentSource) {
+	ownClaims.Add(string(source), 1)
+	g.log.Emit(
+		eventlog.OwnerChanged, runner, change, g.owners.Claim(runner).Revision, g.owners.Wait(now, runner).Milliseconds(), source,
+	)
 }
 
 // updateBudgetMembers sets the number of VMs that share the retry budgets and the places of brittle runners. The caller must hold the lock.
@@ -264,7 +279,7 @@
 		Removals:   []string{ownersPrefix + runner},
 	})
 	if err != nil && !errors.Is(err, platform.ErrConflict) {
-		g.log.Emit(eventlog.OwnerChanged, runner, "not released: "+err.Error(), fence, 0)
+		g.log.Emit(eventlog.OwnerChanged, runner, "not released: "+err.Error(), fence, 0, fromAnswer)
 	}
 }
 
--- a/transport/gateway/metrics.go
+++ b/transport/gateway/metrics.go
@@ -54,6 +54,9 @@
 	runnerFailures = expvar.NewMap("gatewayRunnerFailures")
 	// queueRecords counts the requests that joined the queue, that left it for an endpoint, and that a full queue turned away.
 	queueRecords = expvar.NewMap("gatewayQueue")
+	// ownClaims counts the claims of this process by the way by which it learned of them first, and those that the store did not
+	// answer.
+	ownClaims = expvar.NewMap("gatewayOwnClaims")
 	// requestsChosenAgain counts the requests whose endpoint could not take them any more when they were to be sent.
 	requestsChosenAgain = expvar.NewInt("gatewayChosenAgain")
 	// runnersFull counts the requests that plain runners which report their load turned away for want of room.
--- a/transport/gateway/quarantine_property_test.go
+++ b/transport/gateway/quarantine_property_test.go
@@ -158,7 +158,7 @@
 
 func (f *simulatedFleet) readStore(v *simulatedVM) {
 	for key, value := range f.stored {
-		v.gateway.applyCoordinationItem(f.now.Add(v.skew), platform.Item{Key: key, Value: value})
+		v.gateway.applyCoordinationItem(f.now.Add(v.skew), fromWatch, platform.Item{Key: key, Value: value})
 	}
 }
 
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -40,6 +40,17 @@
 	maxItemsAtOnce = 32
 )
 
+// contentSource is the way by which a VM has learned of a part of the store's content.
+type contentSource string
+
+// The ways by which a VM learns of the store's content: the answer to its own write, the store itself, and another VM.
+const (
+	fromAnswer  contentSource = "answer"
+	fromListing contentSource = "listing"
+	fromWatch   contentSource = "watch"
+	fromView    contentSource = "view"
+)
+
 // followStore keeps the configuration and the directory in line with the store. It reads the store only while the
 // aggregator forwards no views.
 func (g *Gateway) followStore(ctx context.Context) error {
@@ -158,7 +169,7 @@
 		return nil
 	}
 	present := make(map[string]bool, len(items))
-	g.applyItems(now, items)
+	g.applyItems(now, fromListing, items)
 	for _, item := range items {
 		present[item.Key] = true
 	}
@@ -240,7 +251,7 @@
 	g.mu.Lock()
 	g.entryGrace.RecordAnswer(requestedAt)
 	g.mu.Unlock()
-	g.applyChanges(now, events)
+	g.applyChanges(now, fromWatch, events)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.recordSync(requestedAt, revision)
@@ -251,7 +262,7 @@
 }
 
 // applyChanges applies the changes after the known revision. Older ones may have been followed by a removal.
-func (g *Gateway) applyChanges(now time.Time, items []platform.Item) {
+func (g *Gateway) applyChanges(now time.Time, source contentSource, items []platform.Item) {
 	g.mu.Lock()
 	known := g.knownRevision
 	g.mu.Unlock()
@@ -261,7 +272,7 @@
 			changes = append(changes, item)
 		}
 	}
-	g.applyItems(now, changes)
+	g.applyItems(now, source, changes)
 }
 
 // applyView applies a view that another VM forwarded. It ignores one of an earlier era of the store than the known
@@ -299,7 +310,7 @@
 			Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted,
 		})
 	}
-	g.applyChanges(now, changes)
+	g.applyChanges(now, fromView, changes)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if v.Full {
@@ -366,7 +377,7 @@
 
 // applyItems applies items of a listing or events of a watch. It takes the lock once for many of them, as reports and
 // requests wait for it too.
-func (g *Gateway) applyItems(now time.Time, items []platform.Item) {
+func (g *Gateway) applyItems(now time.Time, source contentSource, items []platform.Item) {
 	for part := range slices.Chunk(items, maxItemsAtOnce) {
 		for _, item := range part {
 			// Thousands of routes are decoded without the lock.
@@ -374,21 +385,21 @@
 				g.applyConfiguration(item)
 			}
 		}
-		g.applyPart(now, part)
+		g.applyPart(now, source, part)
 	}
 }
 
-func (g *Gateway) applyPart(now time.Time, items []platform.Item) {
+func (g *Gateway) applyPart(now time.Time, source contentSource, items []platform.Item) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, item := range items {
-		g.applyItem(now, item)
+		g.applyItem(now, source, item)
 	}
 }
 
 // applyItem applies an item other than a configuration, and copies any to the log from which views are forwarded. The
 // caller must hold the lock.
-func (g *Gateway) applyItem(now time.Time, item platform.Item) {
+func (g *Gateway) applyItem(now time.Time, source contentSource, item platform.Item) {
 	relevant := true
 	switch {
 	case strings.HasPrefix(item.Key, streamsPrefix):
@@ -401,7 +412,7 @@
 	case strings.HasPrefix(item.Key, platform.RunnersPrefix):
 		relevant = g.applyRunnerEntry(now, item)
 	default:
-		g.applyCoordinationItem(now, item)
+		g.applyCoordinationItem(now, source, item)
 	}
 	forwarded := relay.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted}
 	if relevant || !g.storeLog.UpdateValue(forwarded) {
@@ -411,12 +422,12 @@
 
 // applyCoordinationItem applies a change of a member key, an owner key, a quarantine, the settled era or a load permit. The
 // caller must hold the lock.
-func (g *Gateway) applyCoordinationItem(now time.Time, item platform.Item) {
+func (g *Gateway) applyCoordinationItem(now time.Time, source contentSource, item platform.Item) {
 	switch {
 	case strings.HasPrefix(item.Key, membersPrefix):
 		g.applyMember(now, item)
 	case strings.HasPrefix(item.Key, ownersPrefix):
-		g.applyOwner(item)
+		g.applyOwner(now, source, item)
 	case strings.HasPrefix(item.Key, softwarePrefix):
 		g.applySoftware(item)
 	case item.Key == settledEraKey:
--- a/transport/gateway/store_test.go
+++ b/transport/gateway/store_test.go
@@ -165,7 +165,7 @@
 			if !item.Deleted {
 				item.Value = fmt.Appendf(nil, `{"service":"s","address":"127.0.0.1:8000","zone":"a","version":"v1","state":"ready","born":%d}`, startedAt.UnixMilli())
 			}
-			g.applyItems(now.Add(after), []platform.Item{item})
+			g.applyItems(now.Add(after), fromListing, []platform.Item{item})
 		}
 		apply(0, now.Add(-time.Minute))
 		g.mu.Lock()
--- a/transport/gateway/view_test.go
+++ b/transport/gateway/view_test.go
@@ -49,11 +49,11 @@
 	}
 	g := aggregator.gateway
 	listed := fleet.NewRevision(0, 10)
-	g.applyItems(now, []platform.Item{{Key: platform.ConfigurationKey, Value: largeConfiguration(t, 1, 1), Revision: listed}})
+	g.applyItems(now, fromListing, []platform.Item{{Key: platform.ConfigurationKey, Value: largeConfiguration(t, 1, 1), Revision: listed}})
 	g.storeLog.ApplyListing(map[string]bool{platform.ConfigurationKey: true}, listed)
 	g.storeLog.RecordSync(now, listed)
 	changed := fleet.NewRevision(0, 11)
-	g.applyItems(now, []platform.Item{{Key: platform.ConfigurationKey, Value: largeConfiguration(t, 2, routes), Revision: changed}})
+	g.applyItems(now, fromListing, []platform.Item{{Key: platform.ConfigurationKey, Value: largeConfiguration(t, 2, routes), Revision: changed}})
 	g.storeLog.RecordSync(now, changed)
 
 	summary := g.mergeReport(now, &vm.Report{VM: "vm-2", SyncedRevision: listed, PackedViews: true})
