Begin the wait of a claim when a VM learns of it, by whatever way

Cause: only the answer to a claim began the wait of 11 s, within which the former owner may still send orders. After a lost answer the watch or another VM's view brought the claim, and the VM ordered at once and marked the claim as settled. The same between the arrival of a claim by the watch and a late answer. Change: the wait is a part of the known claim. SetClaim, the one function for answers, listings, the watch and views, begins it for each claim of this process that is not settled, at the time at which the VM learns of it: the store has made it by then. The time of the call would be too early, as the store may carry it out later. A settled claim has no wait, so that a restart and the marking cost nothing. BeginEra and RemoveClaim take the wait away with its claim; a claim of an authority that BeginEra confirms needs none. The model of the property test refuses and delays claims and loses their answers or brings them late.

--- a/coordination/ownership/tracker.go
+++ b/coordination/ownership/tracker.go
@@ -21,6 +21,13 @@
 	Revision fleet.Revision
 }
 
+// knownClaim is a claim as this VM knows it.
+type knownClaim struct {
+	Claim
+	// orderAt is the earliest time of this VM's first order by the claim. It is zero if no earlier owner can send orders.
+	orderAt time.Time
+}
+
 // Bounds are the durations that keep the orders of two owners of one runner apart.
 type Bounds struct {
 	// Validity is how long a VM may send orders after its last sync with the store, counted from the request.
@@ -41,9 +48,7 @@
 	members map[string]bool
 	// removedAt is when this VM first found that a former member, or an owner in a claim, is no member.
 	removedAt map[string]time.Time
-	claims    map[string]Claim
-	// orderAt is the earliest time of this VM's first order to a runner that another VM owned before.
-	orderAt map[string]time.Time
+	claims    map[string]knownClaim
 	// firstSyncAt is the time of the first sync.
 	firstSyncAt time.Time
 	// syncedAt is when this VM sent the last request that the store answered with all changes.
@@ -61,8 +66,7 @@
 		self: self, incarnation: incarnation, bounds: bounds,
 		members:   make(map[string]bool),
 		removedAt: make(map[string]time.Time),
-		claims:    make(map[string]Claim),
-		orderAt:   make(map[string]time.Time),
+		claims:    make(map[string]knownClaim),
 	}
 }
 
@@ -146,19 +150,31 @@
 	return members
 }
 
-// SetClaim records a runner's claim unless a later revision of it is known.
-func (t *Tracker) SetClaim(runner string, claim Claim) {
-	if t.claims[runner].Revision <= claim.Revision {
-		t.claims[runner] = claim
+// SetClaim records a runner's claim, which this VM has learned of now, by whatever way, unless that revision or a later one
+// is known. The OrderDelay of an own claim begins now: the store has made the claim before, but not necessarily when this
+// VM asked for it.
+func (t *Tracker) SetClaim(now time.Time, runner string, claim Claim) {
+	if claim.Revision <= t.claims[runner].Revision {
+		return
+	}
+	known := knownClaim{Claim: claim}
+	if t.isOwn(claim) && !claim.Settled && !t.confirmed[runner] {
+		known.orderAt = now.Add(t.orderDelay())
 	}
+	if claim.VM != t.self {
+		delete(t.confirmed, runner)
+	}
+	t.claims[runner] = known
 }
 
-// RemoveClaim records that a runner's owner key was removed.
-func (t *Tracker) RemoveClaim(runner string) {
-	delete(t.claims, runner)
-	delete(t.orderAt, runner)
+// isOwn reports whether this process has made a claim.
+func (t *Tracker) isOwn(claim Claim) bool {
+	return claim.VM == t.self && claim.Incarnation == t.incarnation
 }
 
+// RemoveClaim records that a runner's owner key was removed.
+func (t *Tracker) RemoveClaim(runner string) { delete(t.claims, runner) }
+
 // Runners returns the runners that have an owner key, sorted by ID.
 func (t *Tracker) Runners() []string {
 	runners := make([]string, 0, len(t.claims))
@@ -173,13 +189,12 @@
 func (t *Tracker) Owner(runner string) string { return t.claims[runner].VM }
 
 // Claim returns the store's record of a runner's owner, or the zero Claim.
-func (t *Tracker) Claim(runner string) Claim { return t.claims[runner] }
+func (t *Tracker) Claim(runner string) Claim { return t.claims[runner].Claim }
 
 // Authority returns the fencing number that this VM's orders to a runner carry now, or false if it may not order it.
 func (t *Tracker) Authority(now time.Time, runner string) (uint64, bool) {
 	claim, ok := t.claims[runner]
-	if !ok || claim.VM != t.self || claim.Incarnation != t.incarnation || !t.Valid(now) || now.Before(t.orderAt[runner]) ||
-		t.inDoubt(now, runner) {
+	if !ok || !t.isOwn(claim.Claim) || !t.Valid(now) || now.Before(claim.orderAt) || t.inDoubt(now, runner) {
 		return 0, false
 	}
 	return uint64(claim.Revision), true
@@ -187,7 +202,7 @@
 
 // Wait returns the time until this VM's claim on a runner allows its first order, or zero if that time has come.
 func (t *Tracker) Wait(now time.Time, runner string) time.Duration {
-	return max(0, t.orderAt[runner].Sub(now))
+	return max(0, t.claims[runner].orderAt.Sub(now))
 }
 
 // PendingClaim is a runner that this VM should claim.
@@ -197,8 +212,9 @@
 	Revision fleet.Revision
 	// FormerOwner is the former owner, which must not be a member again when the claim is written, or "".
 	FormerOwner string
-	// OrderDelay is how long this VM must wait after the claim before it sends its first order.
-	OrderDelay time.Duration
+	// Settled reports that this VM may send orders as soon as it learns of the claim. Otherwise it waits for the whole
+	// OrderDelay first.
+	Settled bool
 }
 
 // PendingClaims returns the runners that this VM should claim now.
@@ -219,10 +235,7 @@
 	claim, claimed := t.claims[runner]
 	switch {
 	case !claimed:
-		pending := PendingClaim{Runner: runner}
-		if t.inDoubt(now, runner) {
-			pending.OrderDelay = t.orderDelay()
-		}
+		pending := PendingClaim{Runner: runner, Settled: !t.inDoubt(now, runner)}
 		return pending, t.preferred(runner) == t.self || t.returning(now) && t.confirmed[runner]
 	case claim.VM == t.self:
 		return t.ownPendingClaim(now, runner, claim)
@@ -239,36 +252,25 @@
 	}
 	// The former owner may have synced with the store until just before the claim is written: its key may have been
 	// written and removed again unseen by this VM, and the store can remove the key without the owner's knowledge.
-	return PendingClaim{
-		Runner: runner, Revision: claim.Revision, FormerOwner: claim.VM, OrderDelay: t.orderDelay(),
-	}, true
+	return PendingClaim{Runner: runner, Revision: claim.Revision, FormerOwner: claim.VM}, true
 }
 
-// orderDelay is the OrderDelay after a claim of another owner's runner: how long the former owner may still send orders
+// orderDelay is the OrderDelay of a claim that is not settled: how long the former owner may still send orders
 // after the claim, plus the pause after its last order.
 func (t *Tracker) orderDelay() time.Duration { return t.bounds.Validity + t.bounds.OwnerChangePause }
 
 // ownPendingClaim renews a claim that an earlier process of this VM wrote, and settles a claim whose delay is over. A
 // new process starts the whole delay again, because it can't know how much of it the earlier process has waited.
-func (t *Tracker) ownPendingClaim(now time.Time, runner string, claim Claim) (PendingClaim, bool) {
+func (t *Tracker) ownPendingClaim(now time.Time, runner string, claim knownClaim) (PendingClaim, bool) {
 	pending := PendingClaim{Runner: runner, Revision: claim.Revision}
-	if claim.Incarnation == t.incarnation {
-		return pending, !claim.Settled && !now.Before(t.orderAt[runner])
-	}
-	if !claim.Settled || t.inDoubt(now, runner) {
-		pending.OrderDelay = t.orderDelay()
+	if t.isOwn(claim.Claim) {
+		pending.Settled = true
+		return pending, !claim.Settled && !now.Before(claim.orderAt)
 	}
+	pending.Settled = claim.Settled && !t.inDoubt(now, runner)
 	return pending, true
 }
 
-// RecordClaim records that the store accepted this VM's claim.
-func (t *Tracker) RecordClaim(now time.Time, pending PendingClaim, revision fleet.Revision) {
-	t.claims[pending.Runner] = Claim{
-		VM: t.self, Incarnation: t.incarnation, Settled: pending.OrderDelay == 0, Revision: revision,
-	}
-	t.orderAt[pending.Runner] = now.Add(pending.OrderDelay)
-}
-
 // preferred returns the member that rendezvous hashing assigns to a runner. All VMs with the same members agree on it.
 func (t *Tracker) preferred(runner string) string {
 	best, bestWeight := "", uint64(0)
--- a/coordination/ownership/tracker_property_test.go
+++ b/coordination/ownership/tracker_property_test.go
@@ -28,6 +28,8 @@
 	settledEra uint64
 	// copies holds the earlier states of the store.
 	copies []storeCopy
+	// delayed holds the calls that have not reached the store yet.
+	delayed []func()
 }
 
 type storeCopy struct {
@@ -62,17 +64,26 @@
 	s.members[vm] = s.revision
 }
 
-func (s *store) claim(vm, incarnation string, w PendingClaim) (fleet.Revision, bool) {
-	if s.claims[w.Runner].Revision != w.Revision {
-		return 0, false
+// claim makes a claim if its conditions hold. A call does not name the era of its conditions.
+func (s *store) claim(vm, incarnation string, w PendingClaim) (Claim, bool) {
+	if s.claims[w.Runner].Revision.Number() != w.Revision.Number() {
+		return Claim{}, false
 	}
 	if w.FormerOwner != "" && s.members[w.FormerOwner] != 0 {
-		return 0, false
+		return Claim{}, false
 	}
 	s.revision++
-	revision := fleet.NewRevision(s.era, s.revision)
-	s.claims[w.Runner] = Claim{VM: vm, Incarnation: incarnation, Settled: w.OrderDelay == 0, Revision: revision}
-	return revision, true
+	claim := Claim{VM: vm, Incarnation: incarnation, Settled: w.Settled, Revision: fleet.NewRevision(s.era, s.revision)}
+	s.claims[w.Runner] = claim
+	return claim, true
+}
+
+// runDelayed carries out the calls that were delayed. Their callers do not wait for the answers any more.
+func (s *store) runDelayed() {
+	for _, run := range s.delayed {
+		run()
+	}
+	s.delayed = nil
 }
 
 // testVM is a VM and its current process.
@@ -83,8 +94,8 @@
 	disconnected bool
 	// era is the latest era of the store that the process has seen.
 	era uint64
-	// pending are the store's answers that have not yet arrived at the VM.
-	pending []func(now time.Time)
+	// pending are the listings that have not yet arrived at the VM, and answers the answers to its claims.
+	pending, answers []func(now time.Time)
 }
 
 func (v *testVM) incarnation() string { return fmt.Sprint(v.name, "-", v.starts) }
@@ -92,7 +103,7 @@
 func (v *testVM) start() {
 	v.starts++
 	v.tracker = New(v.name, v.incarnation(), bounds)
-	v.pending, v.era = nil, 0
+	v.pending, v.answers, v.era = nil, nil, 0
 }
 
 // list requests the whole content of the store. The answer takes effect with the next deliver.
@@ -127,7 +138,7 @@
 			tracker.AddMember(vm)
 		}
 		for runner, claim := range claims {
-			tracker.SetClaim(runner, claim)
+			tracker.SetClaim(now, runner, claim)
 		}
 		tracker.RecordSync(requestedAt)
 	})
@@ -140,9 +151,40 @@
 	v.pending = nil
 }
 
+// deliverAnswers delivers the answers to claims, which do not take the way of the listings.
+func (v *testVM) deliverAnswers(now time.Time) {
+	for _, apply := range v.answers {
+		apply(now)
+	}
+	v.answers = nil
+}
+
+// claim sends a claim to the store. The call may be refused or delayed, and its answer lost.
+func (v *testVM) claim(t *rapid.T, s *store, w PendingClaim) {
+	era, incarnation, tracker := s.era, v.incarnation(), v.tracker
+	switch rapid.IntRange(0, 5).Draw(t, "call") {
+	case 0:
+		return
+	case 1:
+		s.delayed = append(s.delayed, func() { s.claim(v.name, incarnation, w) })
+		return
+	case 2:
+		s.claim(v.name, incarnation, w)
+		return
+	}
+	if claim, ok := s.claim(v.name, incarnation, w); ok {
+		v.answers = append(v.answers, func(now time.Time) {
+			// The VM does not take the result of a claim for one if it was decided in an earlier era.
+			if v.era == era {
+				tracker.SetClaim(now, w.Runner, claim)
+			}
+		})
+	}
+}
+
 // TestOrdersOfTwoOwnersAreSeparatedByPause checks that orders of two VMs to one runner are always at least the pause
-// apart and carry rising fencing numbers, while VMs are cut off from the store, restart, and lose their keys unseen, and
-// while the store returns from older copies.
+// apart and carry rising fencing numbers, while VMs are cut off from the store, restart, and lose their keys unseen, while
+// claims are refused or delayed and their answers lost or late, and while the store returns from older copies.
 func TestOrdersOfTwoOwnersAreSeparatedByPause(t *testing.T) {
 	t.Run("store keeps all", func(t *testing.T) { checkOrdersAreSeparated(t, false) })
 	t.Run("store returns from older copies", func(t *testing.T) { checkOrdersAreSeparated(t, true) })
@@ -173,7 +215,7 @@
 			if returns && rapid.IntRange(0, 29).Draw(t, "return") == 0 {
 				s.returnFrom(now.Add(-time.Duration(rapid.IntRange(0, 6000).Draw(t, "age")) * time.Millisecond))
 			}
-			switch rapid.IntRange(0, 11).Draw(t, "event") {
+			switch rapid.IntRange(0, 12).Draw(t, "event") {
 			case 0:
 				v.disconnected = !v.disconnected
 			case 1:
@@ -184,6 +226,8 @@
 				}
 			case 3:
 				v.deliver(now)
+			case 4:
+				s.runDelayed()
 			default:
 				if v.disconnected {
 					break
@@ -199,10 +243,10 @@
 					s.settledEra = s.era
 				}
 				for _, w := range v.tracker.PendingClaims(now, runners) {
-					// The VM does not take the result of a claim for one if it was decided in an earlier era.
-					if revision, ok := s.claim(v.name, v.incarnation(), w); ok && v.era == s.era {
-						v.tracker.RecordClaim(now, w, revision)
-					}
+					v.claim(t, s, w)
+				}
+				if rapid.IntRange(0, 3).Draw(t, "late") > 0 {
+					v.deliverAnswers(now)
 				}
 			}
 			for _, runner := range runners {
@@ -223,18 +267,35 @@
 	})
 }
 
-func TestRestartedOwnerOrdersWithoutDelay(t *testing.T) {
-	now := time.Unix(1_000_000, 0)
+// startedTracker returns the tracker of vm-1 that has known vm-2 as a member, and a claim, for ClaimDelay until now.
+func startedTracker(now time.Time, claim Claim) *Tracker {
 	tracker := New("vm-1", "second", bounds)
 	tracker.AddMember("vm-1")
 	tracker.AddMember("vm-2")
-	tracker.SetClaim("r", Claim{VM: "vm-1", Incarnation: "first", Settled: true, Revision: 7})
-	tracker.RecordSync(now)
-	now = now.Add(bounds.ClaimDelay)
+	tracker.SetClaim(now.Add(-bounds.ClaimDelay), "r", claim)
+	tracker.RecordSync(now.Add(-bounds.ClaimDelay))
 	tracker.RecordSync(now)
+	return tracker
+}
+
+// checkWait checks that a VM may send orders to r from a time on, and not just before.
+func checkWait(t *testing.T, tracker *Tracker, from time.Time) {
+	t.Helper()
+	before := from.Add(-time.Millisecond)
+	tracker.RecordSync(before)
+	_, may := tracker.Authority(before, "r")
+	assert.Assert(t, !may, "it orders before its wait is over")
+	tracker.RecordSync(from)
+	_, may = tracker.Authority(from, "r")
+	assert.Assert(t, may, "it does not order after its wait")
+}
+
+func TestRestartedOwnerOrdersWithoutDelay(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	tracker := startedTracker(now, Claim{VM: "vm-1", Incarnation: "first", Settled: true, Revision: 7})
 	pending := tracker.PendingClaims(now, []string{"r"})
-	assert.DeepEqual(t, pending, []PendingClaim{{Runner: "r", Revision: 7}})
-	tracker.RecordClaim(now, pending[0], 9)
+	assert.DeepEqual(t, pending, []PendingClaim{{Runner: "r", Revision: 7, Settled: true}})
+	tracker.SetClaim(now, "r", Claim{VM: "vm-1", Incarnation: "second", Settled: true, Revision: 9})
 	fence, may := tracker.Authority(now, "r")
 	assert.Assert(t, may)
 	assert.Equal(t, fence, uint64(9))
@@ -242,38 +303,38 @@
 
 func TestRestartedOwnerOfUnsettledClaimRepeatsWholeDelay(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	tracker := New("vm-1", "second", bounds)
-	tracker.AddMember("vm-1")
-	tracker.SetClaim("r", Claim{VM: "vm-1", Incarnation: "first", Revision: 7})
-	tracker.RecordSync(now)
-	now = now.Add(bounds.ClaimDelay)
-	tracker.RecordSync(now)
+	tracker := startedTracker(now, Claim{VM: "vm-1", Incarnation: "first", Revision: 7})
 	pending := tracker.PendingClaims(now, []string{"r"})
-	assert.Equal(t, len(pending), 1)
-	assert.Equal(t, pending[0].OrderDelay, bounds.Validity+bounds.OwnerChangePause)
+	assert.DeepEqual(t, pending, []PendingClaim{{Runner: "r", Revision: 7}})
+	tracker.SetClaim(now, "r", Claim{VM: "vm-1", Incarnation: "second", Revision: 9})
+	checkWait(t, tracker, now.Add(bounds.Validity+bounds.OwnerChangePause))
 }
 
 func TestNewOwnerOfRemovedMembersRunnerWaitsForOrderDelay(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	tracker := New("vm-1", "first", bounds)
-	tracker.AddMember("vm-1")
-	tracker.AddMember("vm-2")
-	tracker.SetClaim("r", Claim{VM: "vm-2", Incarnation: "x", Revision: 7})
-	tracker.RecordSync(now)
+	tracker := startedTracker(now, Claim{VM: "vm-2", Incarnation: "x", Revision: 7})
 	tracker.RemoveMember(now, "vm-2")
 	now = now.Add(bounds.ClaimDelay)
 	tracker.RecordSync(now)
 	pending := tracker.PendingClaims(now, []string{"r"})
-	assert.Equal(t, len(pending), 1)
-	assert.Equal(t, pending[0].FormerOwner, "vm-2")
-	tracker.RecordClaim(now, pending[0], 9)
-	tracker.RecordSync(now.Add(bounds.Validity))
-	_, may := tracker.Authority(now.Add(bounds.Validity), "r")
-	assert.Assert(t, !may)
+	assert.DeepEqual(t, pending, []PendingClaim{{Runner: "r", Revision: 7, FormerOwner: "vm-2"}})
+	tracker.SetClaim(now, "r", Claim{VM: "vm-1", Incarnation: "second", Revision: 9})
+	checkWait(t, tracker, now.Add(bounds.Validity+bounds.OwnerChangePause))
+}
+
+// The claim of a runner takes effect, but its answer is lost, or is read after the watch has shown the claim.
+func TestClaimThatTheWatchBringsTakesEffectWithoutItsWait(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	tracker := startedTracker(now, Claim{VM: "vm-2", Incarnation: "x", Revision: 7})
+	claim := Claim{VM: "vm-1", Incarnation: "second", Revision: 9}
+	now = now.Add(time.Second)
+	tracker.SetClaim(now, "r", claim)
 	end := now.Add(bounds.Validity + bounds.OwnerChangePause)
-	tracker.RecordSync(end)
-	_, may = tracker.Authority(end, "r")
-	assert.Assert(t, may)
+	tracker.SetClaim(now.Add(2*time.Second), "r", claim)
+	tracker.RecordSync(end.Add(-time.Millisecond))
+	assert.Equal(t, len(tracker.PendingClaims(end.Add(-time.Millisecond), []string{"r"})), 0, "it settles the claim before its wait is over")
+	checkWait(t, tracker, end)
+	assert.DeepEqual(t, tracker.PendingClaims(end, []string{"r"}), []PendingClaim{{Runner: "r", Revision: 9, Settled: true}})
 }
 
 func TestSyncExpiresBeforeAuthority(t *testing.T) {
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -147,7 +147,7 @@
 		return
 	}
 	known := g.owners.Claim(runner).Revision
-	g.owners.SetClaim(runner, ownership.Claim{
+	g.owners.SetClaim(now, runner, ownership.Claim{
 		VM: value.VM, Incarnation: value.Incarnation, Settled: value.Settled, Revision: item.Revision,
 	})
 	if value.VM == g.settings.Name && value.Incarnation == g.incarnation && known < item.Revision {
@@ -198,7 +198,7 @@
 }
 
 func (g *Gateway) claimRunner(ctx context.Context, era uint64, w ownership.PendingClaim) {
-	value, err := json.Marshal(ownerValue{VM: g.settings.Name, Incarnation: g.incarnation, Settled: w.OrderDelay == 0})
+	value, err := json.Marshal(ownerValue{VM: g.settings.Name, Incarnation: g.incarnation, Settled: w.Settled})
 	if err != nil {
 		g.log.Emit(eventlog.OwnerChanged, w.Runner, err.Error(), 0, 0, "")
 		return
@@ -214,7 +214,7 @@
 		Writes:     []platform.Write{{Key: key, Value: value}},
 	})
 	if err != nil {
-		// After a lost answer the watch shows whether the claim was written. The first order waits for that.
+		// After a lost answer the watch shows whether the claim was written.
 		g.log.Emit(eventlog.OwnerChanged, w.Runner, "not claimed: "+err.Error(), w.Revision, 0, fromAnswer)
 		if errors.Is(err, platform.ErrUnknown) {
 			ownClaims.Add("unanswered", 1)
@@ -226,8 +226,11 @@
 	if g.knownRevision.Era() != era {
 		return
 	}
-	g.owners.RecordClaim(clock.Now(), w, revision)
-	g.recordOwnClaim(clock.Now(), w.Runner, "claimed from "+w.FormerOwner, fromAnswer)
+	now := clock.Now()
+	g.owners.SetClaim(now, w.Runner, ownership.Claim{
+		VM: g.settings.Name, Incarnation: g.incarnation, Settled: w.Settled, Revision: revision,
+	})
+	g.recordOwnClaim(now, w.Runner, "claimed from "+w.FormerOwner, fromAnswer)
 }
 
 // recordOwnClaim logs and counts a claim of this process from which orders follow. The caller must hold the lock.
--- a/transport/gateway/membership_test.go
+++ b/transport/gateway/membership_test.go
@@ -1,10 +1,23 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
+	"net"
+	"net/netip"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/zinniaroute/zinniaroute/coordination/ownership"
+	"github.com/zinniaroute/zinniaroute/document"
+	"github.com/zinniaroute/zinniaroute/settings"
+	"github.com/zinniaroute/zinniaroute/standin/fault"
+	"github.com/zinniaroute/zinniaroute/standin/metadata"
+	"github.com/zinniaroute/zinniaroute/transport/clock"
+	"github.com/zinniaroute/zinniaroute/transport/group"
+	"github.com/zinniaroute/zinniaroute/transport/httpserve"
 )
 
 // During an upgrade VMs of the build before write these records to the store, and read those of this build.
@@ -26,3 +39,74 @@
 		assert.Equal(t, string(encoded), test.record, test.name)
 	}
 }
+
+// storeVM is vm-1 with a stand-in of the store, in which vm-2 owns r1 and is no member any more.
+type storeVM struct {
+	*Gateway
+	t     *testing.T
+	store *metadata.Server
+	now   time.Time
+}
+
+func startStoreVM(t *testing.T) *storeVM {
+	httpserve.DisableLibraryLog()
+	tasks, err := group.New(context.Background())
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, tasks.Stop()) })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	store := metadata.NewServer()
+	store.Put(membersPrefix+"vm-1", []byte(`{"address":"127.0.0.1:1"}`))
+	store.Put(ownersPrefix+"r1", []byte(`{"vm":"vm-2","incarnation":"i-2","settled":true}`))
+	store.Start(tasks, listener)
+	now := clock.Now()
+	v := &simulatedVM{name: "vm-1"}
+	deployed := settings.Gateway{Store: netip.MustParseAddrPort(listener.Addr().String())}
+	deployed.Bounds.OwnerChangePause = document.NewDuration(3 * time.Second)
+	v.startWith(now, deployed)
+	v.gateway.tasks = tasks
+	s := &storeVM{v.gateway, t, store, now}
+	for range 2 {
+		s.list()
+		assert.Equal(t, len(s.owners.PendingClaims(s.now, []string{"r1"})), 0)
+		s.now = s.now.Add(settleDelay)
+	}
+	s.list()
+	return s
+}
+
+// list applies the store's whole content.
+func (s *storeVM) list() {
+	s.t.Helper()
+	items, revision, err := s.Gateway.store.List(s.t.Context(), "")
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, s.applyStoreListing(s.now, s.now, items, revision))
+}
+
+// pendingClaim returns the claim on r1 that is due.
+func (s *storeVM) pendingClaim() ownership.PendingClaim {
+	s.t.Helper()
+	pending := s.owners.PendingClaims(s.now, []string{"r1"})
+	assert.Equal(s.t, len(pending), 1)
+	return pending[0]
+}
+
+func (s *storeVM) mayOrder(after time.Duration) bool {
+	s.now = s.now.Add(after)
+	s.list()
+	_, may := s.authority(s.now, "r1")
+	return may
+}
+
+// The store takes the claim on a runner and the answer is lost, so that the VM learns of its claim from the store's content.
+func TestClaimWhoseAnswerIsLostTakesEffectWithoutItsWait(t *testing.T) {
+	s := startStoreVM(t)
+	s.store.Faults.Set(fault.Faults{DropAnswers: 1, PathContains: "kv-txn"})
+	s.claimRunner(t.Context(), s.knownRevision.Era(), s.pendingClaim())
+	assert.Equal(t, s.owners.Owner("r1"), "vm-2", "the answer was not lost")
+	assert.Check(t, !s.mayOrder(time.Second))
+	assert.Equal(t, s.owners.Owner("r1"), "vm-1")
+	wait := orderValidity + s.bounds().OwnerChangePause.Duration
+	assert.Check(t, !s.mayOrder(wait-time.Millisecond))
+	assert.Check(t, s.mayOrder(time.Millisecond))
+}
--- a/transport/gateway/reservations_test.go
+++ b/transport/gateway/reservations_test.go
@@ -42,7 +42,7 @@
 		g.directory.Put(now, fleet.Runner{
 			ID: id, Service: "models", Domain: "a", Holdings: fleet.Holdings{Models: []fleet.LoadedModel{{Model: "large"}}},
 		})
-		g.owners.SetClaim(id, ownership.Claim{VM: owner, Revision: 1})
+		g.owners.SetClaim(now, id, ownership.Claim{VM: owner, Revision: 1})
 		if owner == name {
 			g.ownedRunners[id] = &ownedRunner{ownedSince: now.Add(-time.Minute)}
 		}
