Keep later content of the store when an answer or a listing is read late

A VM takes itself for the owner of a runner again that has another owner, or of one whose owner key is gone, or forgets a claim that it has just made and waits anew. Cause: the answer to a claim was recorded without a look at the revision up to which the VM knows the store; a listing that was asked for before the claim removed it. Change: RecordAnswer takes only an answer that is later than the content which the tracker knows, and of the same era; RemoveClaim names the revision at which the key was missing, and keeps a later claim.

--- a/coordination/ownership/tracker.go
+++ b/coordination/ownership/tracker.go
@@ -53,6 +53,8 @@
 	firstSyncAt time.Time
 	// syncedAt is when this VM sent the last request that the store answered with all changes.
 	syncedAt time.Time
+	// revision is the store's revision up to which this VM knows all changes.
+	revision fleet.Revision
 	// eraBeganAt is when this VM learned that the store has returned from an older copy. The copy lacks claims that other
 	// VMs may still act on.
 	eraBeganAt time.Time
@@ -70,8 +72,9 @@
 	}
 }
 
-// RecordSync records that all the store's content as of a request sent at requestedAt has been applied.
-func (t *Tracker) RecordSync(requestedAt time.Time) {
+// RecordSync records that all the store's content up to a revision, as of a request sent at requestedAt, has been applied.
+func (t *Tracker) RecordSync(requestedAt time.Time, revision fleet.Revision) {
+	t.revision = max(t.revision, revision)
 	if t.firstSyncAt.IsZero() {
 		t.firstSyncAt = requestedAt
 	}
@@ -151,11 +154,11 @@
 }
 
 // SetClaim records a runner's claim, which this VM has learned of now, by whatever way, unless that revision or a later one
-// is known. The OrderDelay of an own claim begins now: the store has made the claim before, but not necessarily when this
-// VM asked for it.
-func (t *Tracker) SetClaim(now time.Time, runner string, claim Claim) {
+// is known, and reports whether it did. The OrderDelay of an own claim begins now: the store has made the claim before, but
+// not necessarily when this VM asked for it.
+func (t *Tracker) SetClaim(now time.Time, runner string, claim Claim) bool {
 	if claim.Revision <= t.claims[runner].Revision {
-		return
+		return false
 	}
 	known := knownClaim{Claim: claim}
 	if t.isOwn(claim) && !claim.Settled && !t.confirmed[runner] {
@@ -165,6 +168,17 @@
 		delete(t.confirmed, runner)
 	}
 	t.claims[runner] = known
+	return true
+}
+
+// RecordAnswer records a claim that the store's answer to this VM has confirmed, and reports whether it did. An answer that
+// is read after later content is ignored: the content shows the claim, or what has followed it. So is one of a later era, in
+// which another VM may still act on what the store has lost.
+func (t *Tracker) RecordAnswer(now time.Time, runner string, claim Claim) bool {
+	if claim.Revision <= t.revision || claim.Revision.Era() != t.revision.Era() {
+		return false
+	}
+	return t.SetClaim(now, runner, claim)
 }
 
 // isOwn reports whether this process has made a claim.
@@ -172,8 +186,12 @@
 	return claim.VM == t.self && claim.Incarnation == t.incarnation
 }
 
-// RemoveClaim records that a runner's owner key was removed.
-func (t *Tracker) RemoveClaim(runner string) { delete(t.claims, runner) }
+// RemoveClaim records that a runner has no owner key at a revision, unless a later claim is known.
+func (t *Tracker) RemoveClaim(runner string, revision fleet.Revision) {
+	if t.claims[runner].Revision <= revision {
+		delete(t.claims, runner)
+	}
+}
 
 // Runners returns the runners that have an owner key, sorted by ID.
 func (t *Tracker) Runners() []string {
--- a/coordination/ownership/tracker_property_test.go
+++ b/coordination/ownership/tracker_property_test.go
@@ -117,7 +117,7 @@
 	for runner, claim := range s.claims {
 		claims[runner] = claim
 	}
-	tracker, era, settledEra := v.tracker, s.era, s.settledEra
+	tracker, era, settledEra, revision := v.tracker, s.era, s.settledEra, fleet.NewRevision(s.era, s.revision)
 	v.pending = append(v.pending, func(now time.Time) {
 		if era < v.era {
 			return
@@ -140,7 +140,12 @@
 		for runner, claim := range claims {
 			tracker.SetClaim(now, runner, claim)
 		}
-		tracker.RecordSync(requestedAt)
+		for _, runner := range tracker.Runners() {
+			if _, listed := claims[runner]; !listed {
+				tracker.RemoveClaim(runner, revision)
+			}
+		}
+		tracker.RecordSync(requestedAt, revision)
 	})
 }
 
@@ -161,7 +166,7 @@
 
 // claim sends a claim to the store. The call may be refused or delayed, and its answer lost.
 func (v *testVM) claim(t *rapid.T, s *store, w PendingClaim) {
-	era, incarnation, tracker := s.era, v.incarnation(), v.tracker
+	incarnation, tracker := v.incarnation(), v.tracker
 	switch rapid.IntRange(0, 5).Draw(t, "call") {
 	case 0:
 		return
@@ -173,12 +178,7 @@
 		return
 	}
 	if claim, ok := s.claim(v.name, incarnation, w); ok {
-		v.answers = append(v.answers, func(now time.Time) {
-			// The VM does not take the result of a claim for one if it was decided in an earlier era.
-			if v.era == era {
-				tracker.SetClaim(now, w.Runner, claim)
-			}
-		})
+		v.answers = append(v.answers, func(now time.Time) { tracker.RecordAnswer(now, w.Runner, claim) })
 	}
 }
 
@@ -273,8 +273,8 @@
 	tracker.AddMember("vm-1")
 	tracker.AddMember("vm-2")
 	tracker.SetClaim(now.Add(-bounds.ClaimDelay), "r", claim)
-	tracker.RecordSync(now.Add(-bounds.ClaimDelay))
-	tracker.RecordSync(now)
+	tracker.RecordSync(now.Add(-bounds.ClaimDelay), 7)
+	tracker.RecordSync(now, 7)
 	return tracker
 }
 
@@ -282,10 +282,10 @@
 func checkWait(t *testing.T, tracker *Tracker, from time.Time) {
 	t.Helper()
 	before := from.Add(-time.Millisecond)
-	tracker.RecordSync(before)
+	tracker.RecordSync(before, 7)
 	_, may := tracker.Authority(before, "r")
 	assert.Assert(t, !may, "it orders before its wait is over")
-	tracker.RecordSync(from)
+	tracker.RecordSync(from, 7)
 	_, may = tracker.Authority(from, "r")
 	assert.Assert(t, may, "it does not order after its wait")
 }
@@ -315,7 +315,7 @@
 	tracker := startedTracker(now, Claim{VM: "vm-2", Incarnation: "x", Revision: 7})
 	tracker.RemoveMember(now, "vm-2")
 	now = now.Add(bounds.ClaimDelay)
-	tracker.RecordSync(now)
+	tracker.RecordSync(now, 7)
 	pending := tracker.PendingClaims(now, []string{"r"})
 	assert.DeepEqual(t, pending, []PendingClaim{{Runner: "r", Revision: 7, FormerOwner: "vm-2"}})
 	tracker.SetClaim(now, "r", Claim{VM: "vm-1", Incarnation: "second", Revision: 9})
@@ -331,16 +331,62 @@
 	tracker.SetClaim(now, "r", claim)
 	end := now.Add(bounds.Validity + bounds.OwnerChangePause)
 	tracker.SetClaim(now.Add(2*time.Second), "r", claim)
-	tracker.RecordSync(end.Add(-time.Millisecond))
+	tracker.RecordSync(end.Add(-time.Millisecond), 7)
 	assert.Equal(t, len(tracker.PendingClaims(end.Add(-time.Millisecond), []string{"r"})), 0, "it settles the claim before its wait is over")
 	checkWait(t, tracker, end)
 	assert.DeepEqual(t, tracker.PendingClaims(end, []string{"r"}), []PendingClaim{{Runner: "r", Revision: 9, Settled: true}})
 }
 
+// An answer is read after later content of the store, or a listing after a later answer.
+func TestOlderAnswerReplacesLaterContent(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	own := Claim{VM: "vm-1", Incarnation: "second", Settled: true, Revision: 8}
+	others := Claim{VM: "vm-2", Incarnation: "x", Revision: 9}
+	tests := []struct {
+		name  string
+		apply func(tracker *Tracker)
+		want  Claim
+	}{
+		{"answer after another VM's claim", func(tracker *Tracker) {
+			tracker.SetClaim(now, "r", others)
+			tracker.RecordSync(now, 9)
+			tracker.RecordAnswer(now, "r", own)
+		}, others},
+		{"answer after another VM's claim whose sync is not complete yet", func(tracker *Tracker) {
+			tracker.SetClaim(now, "r", others)
+			tracker.RecordAnswer(now, "r", own)
+		}, others},
+		{"answer after the removal", func(tracker *Tracker) {
+			tracker.SetClaim(now, "r", own)
+			tracker.RemoveClaim("r", 9)
+			tracker.RecordSync(now, 9)
+			tracker.RecordAnswer(now, "r", own)
+		}, Claim{}},
+		{"answer of an earlier era", func(tracker *Tracker) {
+			tracker.BeginEra(now)
+			tracker.RecordSync(now, fleet.NewRevision(1, 5))
+			tracker.RecordAnswer(now, "r", own)
+		}, Claim{}},
+		{"answer of a later era before its listing", func(tracker *Tracker) {
+			tracker.RecordAnswer(now, "r", Claim{VM: "vm-1", Incarnation: "second", Settled: true, Revision: fleet.NewRevision(1, 8)})
+		}, Claim{VM: "vm-2", Incarnation: "x", Revision: 6}},
+		{"listing after the answer", func(tracker *Tracker) {
+			tracker.RecordAnswer(now, "r", own)
+			tracker.RemoveClaim("r", 7)
+			tracker.SetClaim(now, "r", Claim{VM: "vm-2", Incarnation: "x", Revision: 6})
+		}, own},
+	}
+	for _, test := range tests {
+		tracker := startedTracker(now, Claim{VM: "vm-2", Incarnation: "x", Revision: 6})
+		test.apply(tracker)
+		assert.Check(t, tracker.Claim("r") == test.want, "%s: %v", test.name, tracker.Claim("r"))
+	}
+}
+
 func TestSyncExpiresBeforeAuthority(t *testing.T) {
 	tracker := New("a", "1", bounds)
 	now := time.Unix(1_000_000, 0)
-	tracker.RecordSync(now)
+	tracker.RecordSync(now, 7)
 	tracker.AddMember("a")
 	assert.Check(t, tracker.IsSynced(now.Add(3*time.Second)))
 	assert.Check(t, !tracker.IsSynced(now.Add(4*time.Second)))
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -138,7 +138,7 @@
 func (g *Gateway) applyOwner(now time.Time, source contentSource, item platform.Item) {
 	runner := strings.TrimPrefix(item.Key, ownersPrefix)
 	if item.Deleted {
-		g.owners.RemoveClaim(runner)
+		g.owners.RemoveClaim(runner, item.Revision)
 		return
 	}
 	var value ownerValue
@@ -146,11 +146,10 @@
 		g.log.Emit(eventlog.OwnerChanged, runner, "unreadable: "+err.Error(), item.Revision, 0, source)
 		return
 	}
-	known := g.owners.Claim(runner).Revision
-	g.owners.SetClaim(now, runner, ownership.Claim{
+	isNew := g.owners.SetClaim(now, runner, ownership.Claim{
 		VM: value.VM, Incarnation: value.Incarnation, Settled: value.Settled, Revision: item.Revision,
 	})
-	if value.VM == g.settings.Name && value.Incarnation == g.incarnation && known < item.Revision {
+	if isNew && value.VM == g.settings.Name && value.Incarnation == g.incarnation {
 		g.recordOwnClaim(now, runner, "claim found", source)
 	}
 }
@@ -223,14 +222,13 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.knownRevision.Era() != era {
-		return
-	}
 	now := clock.Now()
-	g.owners.SetClaim(now, w.Runner, ownership.Claim{
+	isNew := g.owners.RecordAnswer(now, w.Runner, ownership.Claim{
 		VM: g.settings.Name, Incarnation: g.incarnation, Settled: w.Settled, Revision: revision,
 	})
-	g.recordOwnClaim(now, w.Runner, "claimed from "+w.FormerOwner, fromAnswer)
+	if isNew {
+		g.recordOwnClaim(now, w.Runner, "claimed from "+w.FormerOwner, fromAnswer)
+	}
 }
 
 // recordOwnClaim logs and counts a claim of this process from which orders follow. The caller must hold the lock.
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -175,15 +175,15 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.applyListing(now, present)
+	g.applyListing(now, present, revision)
 	g.storeLog.ApplyListing(present, revision)
 	g.recordSync(requestedAt, revision)
 	g.notifyDirectoryChange()
 	return nil
 }
 
-// applyListing removes what a complete listing lacks. The caller must hold the lock.
-func (g *Gateway) applyListing(now time.Time, present map[string]bool) {
+// applyListing removes what a complete listing at a revision lacks. The caller must hold the lock.
+func (g *Gateway) applyListing(now time.Time, present map[string]bool, revision fleet.Revision) {
 	runners := make(map[string]bool)
 	for key := range present {
 		if id, ok := strings.CutPrefix(key, platform.RunnersPrefix); ok {
@@ -191,7 +191,7 @@
 		}
 	}
 	g.forgetRunners(now, g.directory.ApplyListing(now, runners, g.entryGrace.Remaining(now)))
-	g.removeUnlisted(now, present)
+	g.removeUnlisted(now, present, revision)
 }
 
 // recordSync records that this VM has applied the store's content up to a revision, as of a request sent at a time. The
@@ -209,7 +209,7 @@
 	if requestedAt.After(g.syncedAt) {
 		g.syncedAt = requestedAt
 	}
-	g.owners.RecordSync(requestedAt)
+	g.owners.RecordSync(requestedAt, revision)
 }
 
 // recordStoreCall records that a call to read the store begins, and returns the function that records its end.
@@ -314,7 +314,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if v.Full {
-		g.applyListing(now, present)
+		g.applyListing(now, present, v.Revision)
 		g.storeLog.ApplyListing(present, v.Revision)
 	}
 	g.directory.LimitAbsence(now.Add(g.entryGrace.Remaining(now)))
@@ -345,8 +345,8 @@
 }
 
 // removeUnlisted removes members, owners, stored quarantines, recorded versions and load permits whose keys a complete listing
-// lacks. The caller must hold the lock.
-func (g *Gateway) removeUnlisted(now time.Time, listed map[string]bool) {
+// at a revision lacks. The caller must hold the lock.
+func (g *Gateway) removeUnlisted(now time.Time, listed map[string]bool, revision fleet.Revision) {
 	for _, member := range g.owners.Members() {
 		if !listed[membersPrefix+member] {
 			g.removeMember(now, member)
@@ -354,7 +354,7 @@
 	}
 	for _, runner := range g.owners.Runners() {
 		if !listed[ownersPrefix+runner] {
-			g.owners.RemoveClaim(runner)
+			g.owners.RemoveClaim(runner, revision)
 		}
 	}
 	for name := range g.crashes.stored {
