End the right to order a runner before its release is asked for

A VM that has asked the store to remove its claim on a runner that is gone keeps its authority until the content of the store shows the removal. If the answer is lost and the runner comes back, another VM may claim it without a wait, as nobody owns it, and both may order it: for as long as a listing is applied, in which the entry comes before the removal of the claim. Cause: a right that ends with an answer. Change: BeginRelease ends the authority before the call. The call is repeated until the content shows the removal, as the claim would else stay without an owner that may order; if the runner has an entry again first, the VM writes its claim anew, which the store refuses if the claim is gone, and which gives back the authority at once if not. Result: TestRunnerIsOrderedByItsFormerOwnerAfterTheRelease fails in both cases without the condition in Authority, and passes with it.

--- a/coordination/ownership/tracker.go
+++ b/coordination/ownership/tracker.go
@@ -26,6 +26,8 @@
 	Claim
 	// orderAt is the earliest time of this VM's first order by the claim. It is zero if no earlier owner can send orders.
 	orderAt time.Time
+	// releasing reports that this VM has asked the store to remove the claim. It may have been removed since.
+	releasing bool
 }
 
 // Bounds are the durations that keep the orders of two owners of one runner apart.
@@ -193,6 +195,20 @@
 	}
 }
 
+// BeginRelease records that this VM is about to ask the store to remove its claim on a runner. The claim allows no orders any
+// more, whatever the answer: another VM may claim the runner without a wait as soon as the store has removed the claim.
+func (t *Tracker) BeginRelease(runner string) {
+	claim, claimed := t.claims[runner]
+	if claimed {
+		claim.releasing = true
+		t.claims[runner] = claim
+	}
+}
+
+// Releasing reports whether this VM has asked the store to remove its claim on a runner, and the claim is the last that it
+// knows.
+func (t *Tracker) Releasing(runner string) bool { return t.claims[runner].releasing }
+
 // Runners returns the runners that have an owner key, sorted by ID.
 func (t *Tracker) Runners() []string {
 	runners := make([]string, 0, len(t.claims))
@@ -212,7 +228,7 @@
 // Authority returns the fencing number that this VM's orders to a runner carry now, or false if it may not order it.
 func (t *Tracker) Authority(now time.Time, runner string) (uint64, bool) {
 	claim, ok := t.claims[runner]
-	if !ok || !t.isOwn(claim.Claim) || !t.Valid(now) || now.Before(claim.orderAt) || t.inDoubt(now, runner) {
+	if !ok || !t.isOwn(claim.Claim) || claim.releasing || !t.Valid(now) || now.Before(claim.orderAt) || t.inDoubt(now, runner) {
 		return 0, false
 	}
 	return uint64(claim.Revision), true
@@ -277,13 +293,14 @@
 // after the claim, plus the pause after its last order.
 func (t *Tracker) orderDelay() time.Duration { return t.bounds.Validity + t.bounds.OwnerChangePause }
 
-// ownPendingClaim renews a claim that an earlier process of this VM wrote, and settles a claim whose delay is over. A
+// ownPendingClaim renews a claim that an earlier process of this VM wrote or that is being released, and settles a claim whose
+// delay is over. A
 // new process starts the whole delay again, because it can't know how much of it the earlier process has waited.
 func (t *Tracker) ownPendingClaim(now time.Time, runner string, claim knownClaim) (PendingClaim, bool) {
 	pending := PendingClaim{Runner: runner, Revision: claim.Revision}
 	if t.isOwn(claim.Claim) {
 		pending.Settled = true
-		return pending, !claim.Settled && !now.Before(claim.orderAt)
+		return pending, (!claim.Settled || claim.releasing) && !now.Before(claim.orderAt)
 	}
 	pending.Settled = claim.Settled && !t.inDoubt(now, runner)
 	return pending, true
--- a/coordination/ownership/tracker_property_test.go
+++ b/coordination/ownership/tracker_property_test.go
@@ -24,6 +24,8 @@
 	revision uint64
 	members  map[string]uint64
 	claims   map[string]Claim
+	// absent holds the runners that have no entry.
+	absent map[string]bool
 	// settledEra is the latest era that a VM has marked as settled.
 	settledEra uint64
 	// copies holds the earlier states of the store.
@@ -78,6 +80,14 @@
 	return claim, true
 }
 
+// release removes a claim if its last write is still the one at a revision.
+func (s *store) release(runner string, claimed fleet.Revision) {
+	if s.claims[runner].Revision.Number() == claimed.Number() {
+		s.revision++
+		delete(s.claims, runner)
+	}
+}
+
 // runDelayed carries out the calls that were delayed. Their callers do not wait for the answers any more.
 func (s *store) runDelayed() {
 	for _, run := range s.delayed {
@@ -94,6 +104,8 @@
 	disconnected bool
 	// era is the latest era of the store that the process has seen.
 	era uint64
+	// absentSince holds since when the process has known that runners have no entry.
+	absentSince map[string]time.Time
 	// pending are the listings that have not yet arrived at the VM, and answers the answers to its claims.
 	pending, answers []func(now time.Time)
 }
@@ -103,10 +115,11 @@
 func (v *testVM) start() {
 	v.starts++
 	v.tracker = New(v.name, v.incarnation(), bounds)
-	v.pending, v.answers, v.era = nil, nil, 0
+	v.pending, v.answers, v.era, v.absentSince = nil, nil, 0, make(map[string]time.Time)
 }
 
-// list requests the whole content of the store. The answer takes effect with the next deliver.
+// list requests the whole content of the store. The answer takes effect with the next deliver, in two parts: what there is, and
+// what is missing.
 func (v *testVM) list(s *store, requestedAt time.Time) {
 	members := make([]string, 0, len(s.members))
 	for vm := range s.members {
@@ -117,6 +130,7 @@
 	for runner, claim := range s.claims {
 		claims[runner] = claim
 	}
+	absent := maps.Clone(s.absent)
 	tracker, era, settledEra, revision := v.tracker, s.era, s.settledEra, fleet.NewRevision(s.era, s.revision)
 	v.pending = append(v.pending, func(now time.Time) {
 		if era < v.era {
@@ -129,16 +143,21 @@
 			tracker.BeginEra(now)
 		}
 		v.era = era
-		for _, vm := range tracker.Members() {
-			if !slices.Contains(members, vm) {
-				tracker.RemoveMember(requestedAt, vm)
-			}
+		for runner := range claims {
+			tracker.SetClaim(now, runner, claims[runner])
 		}
+		v.setAbsent(now, absent)
 		for _, vm := range members {
 			tracker.AddMember(vm)
 		}
-		for runner, claim := range claims {
-			tracker.SetClaim(now, runner, claim)
+	}, func(time.Time) {
+		if era < v.era {
+			return
+		}
+		for _, vm := range tracker.Members() {
+			if !slices.Contains(members, vm) {
+				tracker.RemoveMember(requestedAt, vm)
+			}
 		}
 		for _, runner := range tracker.Runners() {
 			if _, listed := claims[runner]; !listed {
@@ -149,11 +168,40 @@
 	})
 }
 
-func (v *testVM) deliver(now time.Time) {
-	for _, apply := range v.pending {
+func (v *testVM) deliver(now time.Time, parts int) {
+	for _, apply := range v.pending[:parts] {
 		apply(now)
 	}
-	v.pending = nil
+	v.pending = v.pending[parts:]
+}
+
+func (v *testVM) setAbsent(now time.Time, absent map[string]bool) {
+	for runner := range absent {
+		if v.absentSince[runner].IsZero() {
+			v.absentSince[runner] = now
+		}
+	}
+	maps.DeleteFunc(v.absentSince, func(runner string, _ time.Time) bool { return !absent[runner] })
+}
+
+// release removes the claims on runners that have had no entry for longer than the pause between two owners. The call may be
+// refused or delayed.
+func (v *testVM) release(t *rapid.T, s *store, now time.Time, runner string) {
+	_, may := v.tracker.Authority(now, runner)
+	if may && now.Sub(v.absentSince[runner]) > bounds.OwnerChangePause {
+		v.tracker.BeginRelease(runner)
+	}
+	if !v.tracker.Releasing(runner) {
+		return
+	}
+	claimed := v.tracker.Claim(runner).Revision
+	switch rapid.IntRange(0, 3).Draw(t, "release") {
+	case 0:
+	case 1:
+		s.delayed = append(s.delayed, func() { s.release(runner, claimed) })
+	default:
+		s.release(runner, claimed)
+	}
 }
 
 // deliverAnswers delivers the answers to claims, which do not take the way of the listings.
@@ -193,7 +241,9 @@
 func checkOrdersAreSeparated(t *testing.T, returns bool) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1_000_000, 0)
-		s := &store{era: 1, settledEra: 1, members: make(map[string]uint64), claims: make(map[string]Claim)}
+		s := &store{
+			era: 1, settledEra: 1, members: make(map[string]uint64), claims: make(map[string]Claim), absent: make(map[string]bool),
+		}
 		runners := []string{"r1", "r2"}
 		var vms []*testVM
 		for i := range 3 {
@@ -215,7 +265,7 @@
 			if returns && rapid.IntRange(0, 29).Draw(t, "return") == 0 {
 				s.returnFrom(now.Add(-time.Duration(rapid.IntRange(0, 6000).Draw(t, "age")) * time.Millisecond))
 			}
-			switch rapid.IntRange(0, 12).Draw(t, "event") {
+			switch rapid.IntRange(0, 13).Draw(t, "event") {
 			case 0:
 				v.disconnected = !v.disconnected
 			case 1:
@@ -225,16 +275,23 @@
 					v.start()
 				}
 			case 3:
-				v.deliver(now)
+				v.deliver(now, rapid.IntRange(0, len(v.pending)).Draw(t, "parts"))
 			case 4:
 				s.runDelayed()
+			case 5:
+				runner := rapid.SampledFrom(runners).Draw(t, "runner")
+				if s.absent[runner] {
+					delete(s.absent, runner)
+				} else {
+					s.absent[runner] = true
+				}
 			default:
 				if v.disconnected {
 					break
 				}
 				v.list(s, now)
 				if rapid.IntRange(0, 3).Draw(t, "slow") > 0 {
-					v.deliver(now)
+					v.deliver(now, len(v.pending))
 				}
 				if !v.tracker.Registered() && rapid.Bool().Draw(t, "register") {
 					s.register(v.name)
@@ -242,7 +299,15 @@
 				if v.era == s.era && v.tracker.EraSettled(now) {
 					s.settledEra = s.era
 				}
-				for _, w := range v.tracker.PendingClaims(now, runners) {
+				var present []string
+				for _, runner := range runners {
+					if v.absentSince[runner].IsZero() {
+						present = append(present, runner)
+					} else {
+						v.release(t, s, now, runner)
+					}
+				}
+				for _, w := range v.tracker.PendingClaims(now, present) {
 					v.claim(t, s, w)
 				}
 				if rapid.IntRange(0, 3).Draw(t, "late") > 0 {
@@ -251,7 +316,7 @@
 			}
 			for _, runner := range runners {
 				fence, may := v.tracker.Authority(now, runner)
-				if !may {
+				if !may || !v.absentSince[runner].IsZero() {
 					continue
 				}
 				before, ordered := last[runner]
--- a/transport/gateway/membership.go
+++ b/transport/gateway/membership.go
@@ -167,7 +167,7 @@
 			g.claimRunner(ctx, era, w)
 		}
 		g.recordVersions(ctx)
-		g.releaseOrphans(ctx)
+		g.releaseOrphans(ctx, clock.Now())
 		g.markEraSettled(ctx)
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -250,37 +250,41 @@
 // orphanGrace is how long the owner key of a runner without an entry is kept. It exceeds outages of the store.
 const orphanGrace = time.Minute
 
-// releaseOrphans removes the owner keys of this VM's runners that have had no entry for orphanGrace.
-func (g *Gateway) releaseOrphans(ctx context.Context) {
-	now := clock.Now()
-	orphans := make(map[string]uint64)
+// releaseOrphans removes the owner keys of this VM's runners that have had no entry for orphanGrace. It repeats the call until
+// the store's content shows the removal, as an answer may be lost.
+func (g *Gateway) releaseOrphans(ctx context.Context, now time.Time) {
+	orphans := make(map[string]fleet.Revision)
 	g.mu.Lock()
 	for _, runner := range g.owners.Runners() {
-		fence, hasAuthority := g.authority(now, runner)
+		_, hasAuthority := g.authority(now, runner)
+		isListed := g.directory.Get(runner) != nil
 		switch since, isOrphan := g.orphanedSince[runner]; {
-		case g.directory.Get(runner) != nil || !hasAuthority:
+		case !isListed && g.owners.Releasing(runner):
+			orphans[runner] = g.owners.Claim(runner).Revision
+		case isListed || !hasAuthority:
 			delete(g.orphanedSince, runner)
 		case !isOrphan:
 			g.orphanedSince[runner] = now
 		case now.Sub(since) >= orphanGrace:
-			orphans[runner] = fence
+			g.owners.BeginRelease(runner)
+			orphans[runner] = g.owners.Claim(runner).Revision
 		}
 	}
 	g.mu.Unlock()
-	for runner, fence := range orphans {
-		g.releaseRunner(ctx, runner, fence)
+	for runner, claimed := range orphans {
+		g.releaseRunner(ctx, runner, claimed)
 	}
 }
 
-// releaseRunner removes the owner key of a runner if its last write is still the one with this fence.
-func (g *Gateway) releaseRunner(ctx context.Context, runner string, fence uint64) {
+// releaseRunner removes the owner key of a runner if its last write is still the one at a revision.
+func (g *Gateway) releaseRunner(ctx context.Context, runner string, claimed fleet.Revision) {
 	_, err := g.store.Commit(ctx, platform.Transaction{
-		Era:        fleet.Revision(fence).Era(),
-		Conditions: []platform.Condition{{Key: ownersPrefix + runner, Revision: fleet.Revision(fence)}},
+		Era:        claimed.Era(),
+		Conditions: []platform.Condition{{Key: ownersPrefix + runner, Revision: claimed}},
 		Removals:   []string{ownersPrefix + runner},
 	})
 	if err != nil && !errors.Is(err, platform.ErrConflict) {
-		g.log.Emit(eventlog.OwnerChanged, runner, "not released: "+err.Error(), fence, 0, fromAnswer)
+		g.log.Emit(eventlog.OwnerChanged, runner, "not released: "+err.Error(), claimed, 0, fromAnswer)
 	}
 }
 
--- a/transport/gateway/membership_test.go
+++ b/transport/gateway/membership_test.go
@@ -110,3 +110,58 @@
 	assert.Check(t, !s.mayOrder(wait-time.Millisecond))
 	assert.Check(t, s.mayOrder(time.Millisecond))
 }
+
+// own makes vm-1 the owner of r1, with the wait over.
+func (s *storeVM) own() {
+	s.t.Helper()
+	s.claimRunner(s.t.Context(), s.knownRevision.Era(), s.pendingClaim())
+	assert.Assert(s.t, s.mayOrder(orderValidity+s.bounds().OwnerChangePause.Duration))
+}
+
+// A VM asks the store to remove its claim on a runner that is gone. The runner comes back, and another VM may claim it without
+// a wait if the store has removed the claim.
+func TestRunnerIsOrderedByItsFormerOwnerAfterTheRelease(t *testing.T) {
+	tests := []struct {
+		name    string
+		faults  fault.Faults
+		removed bool
+	}{
+		{"the answer is lost", fault.Faults{DropAnswers: 1, PathContains: "kv-txn"}, true},
+		{"the call is refused", fault.Faults{Down: true, PathContains: "kv-txn"}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := startStoreVM(t)
+			s.own()
+			fence := s.owners.Claim("r1").Revision
+			s.orphanedSince["r1"] = s.now.Add(-orphanGrace)
+			s.store.Faults.Set(test.faults)
+			s.releaseOrphans(t.Context(), s.now)
+			_, may := s.authority(s.now, "r1")
+			assert.Check(t, !may, "the former owner may still order it")
+			s.store.Faults.Set(fault.Faults{})
+			s.claimRunner(t.Context(), s.knownRevision.Era(), s.pendingClaim())
+			if _, may = s.authority(s.now, "r1"); test.removed {
+				assert.Check(t, !may)
+				s.list()
+				assert.Equal(t, s.owners.Owner("r1"), "")
+				s.claimRunner(t.Context(), s.knownRevision.Era(), s.pendingClaim())
+			}
+			later, may := s.authority(s.now, "r1")
+			assert.Check(t, may, "the runner has no owner")
+			assert.Check(t, later > uint64(fence))
+		})
+	}
+}
+
+func TestReleaseOfARunnerIsNotRepeated(t *testing.T) {
+	s := startStoreVM(t)
+	s.own()
+	s.orphanedSince["r1"] = s.now.Add(-orphanGrace)
+	s.store.Faults.Set(fault.Faults{Down: true, PathContains: "kv-txn"})
+	s.releaseOrphans(t.Context(), s.now)
+	s.store.Faults.Set(fault.Faults{})
+	s.releaseOrphans(t.Context(), s.now)
+	s.list()
+	assert.Equal(t, s.owners.Owner("r1"), "")
+}
