Begin the wait of a process in an unsettled era when it learns of the era

A process that starts as the store returns from an older copy may order a runner earlier than 11 s after the return, while the owner whose claim the store has lost still orders it: by as much as the call that brought the content took (up to 6 s), or by the age of the view that another VM handed on. Cause: the wait was counted from the request for the content. The store may have returned after that, while the call was under way. Change: it is counted from the time at which the content is applied, as BeginEra does and as the model of the property test assumed.

--- a/transport/gateway/era.go
+++ b/transport/gateway/era.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// checkSettledEra doubts all claims if a process begins to follow the store in an era that is not settled. The caller
-// must hold the lock.
+// checkSettledEra doubts all claims if a process begins to follow the store in an era that is not settled. The store may have
+// returned at any time until now, also after this process asked for its content. The caller must hold the lock.
 func (g *Gateway) checkSettledEra(now time.Time, revision fleet.Revision) {
 	if g.knownRevision == 0 && g.settledEra > 0 && g.settledEra < revision.Era() {
 		g.owners.DoubtClaims(now)
--- a/transport/gateway/spread_test.go
+++ b/transport/gateway/spread_test.go
@@ -82,7 +82,7 @@
 			missing, timeouts := test.vms, 0
 			for ; now.Before(end) && missing > 0; now = now.Add(tick) {
 				g.mu.Lock()
-				g.recordSync(now, changed)
+				g.recordSync(now, now, changed)
 				g.mu.Unlock()
 				for _, v := range vms {
 					if now.Before(v.waitsUntil) {
--- a/transport/gateway/store.go
+++ b/transport/gateway/store.go
@@ -177,7 +177,7 @@
 	defer g.mu.Unlock()
 	g.applyListing(now, present, revision)
 	g.storeLog.ApplyListing(present, revision)
-	g.recordSync(requestedAt, revision)
+	g.recordSync(requestedAt, now, revision)
 	g.notifyDirectoryChange()
 	return nil
 }
@@ -196,15 +196,15 @@
 
 // recordSync records that this VM has applied the store's content up to a revision, as of a request sent at a time. The
 // caller must hold the lock.
-func (g *Gateway) recordSync(requestedAt time.Time, revision fleet.Revision) {
+func (g *Gateway) recordSync(requestedAt, now time.Time, revision fleet.Revision) {
 	g.storeLog.RecordSync(requestedAt, revision)
-	g.recordRevision(requestedAt, revision)
+	g.recordRevision(requestedAt, now, revision)
 }
 
 // recordRevision records that this VM knows the store's content up to a revision, as of a request that this VM or the
 // aggregator sent. The caller must hold the lock.
-func (g *Gateway) recordRevision(requestedAt time.Time, revision fleet.Revision) {
-	g.checkSettledEra(requestedAt, revision)
+func (g *Gateway) recordRevision(requestedAt, now time.Time, revision fleet.Revision) {
+	g.checkSettledEra(now, revision)
 	g.knownRevision = max(g.knownRevision, revision)
 	if requestedAt.After(g.syncedAt) {
 		g.syncedAt = requestedAt
@@ -254,7 +254,7 @@
 	g.applyChanges(now, fromWatch, events)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.recordSync(requestedAt, revision)
+	g.recordSync(requestedAt, now, revision)
 	g.forgetRunners(now, g.directory.Expire(now))
 	if len(events) > 0 {
 		g.notifyDirectoryChange()
@@ -326,7 +326,7 @@
 	case g.heldBackSince.IsZero():
 		g.heldBackSince = now
 	}
-	g.recordRevision(asOf, v.Revision)
+	g.recordRevision(asOf, now, v.Revision)
 	if len(v.Items) > 0 {
 		g.notifyDirectoryChange()
 	}
