Block loads in a process that starts in an unsettled era

When the store returns from an older copy, the permits of recent loads are lost, and each VM begins no loads from the weight store until the window of the rate has passed. Cause: only the return that a process sees itself blocks its loads; checkSettledEra doubted claims alone. Change: it blocks loads too. Result: TestLoadsBeginBesideThoseOfAnEarlierEra fails before (a permit is granted), passes after; in a settled era a permit is granted at once, before and after.

--- a/transport/gateway/era.go
+++ b/transport/gateway/era.go
@@ -36,11 +36,17 @@
 	clear(g.runnerEntries)
 	g.settledEra, g.settledEraRevision = 0, 0
 	g.versions = origins.NewVersions()
-	g.loadsBlockedUntil = now.Add(pacing.PermitLifetime(g.bounds().LoadWindow.Duration))
+	g.blockLoads(now)
 	storeReturns.Add(1)
 	g.log.Emit(eventlog.StoreReturned, known.String(), revision.String(), now.Sub(g.syncedAt).Milliseconds())
 }
 
+// blockLoads allows no loads from the weight store until none counts any more whose permit the store may have lost. The caller must
+// hold the lock.
+func (g *Gateway) blockLoads(now time.Time) {
+	g.loadsBlockedUntil = now.Add(pacing.PermitLifetime(g.bounds().LoadWindow.Duration))
+}
+
 // authority returns the fencing number that this VM's orders to a runner carry now, or false if it may not order it. It
 // may not between the first answer of a new era and its listing. The caller must hold the lock.
 func (g *Gateway) authority(now time.Time, runner string) (uint64, bool) {
@@ -62,11 +68,12 @@
 	}
 }
 
-// checkSettledEra doubts all claims if a process begins to follow the store in an era that is not settled. The store may have
+// checkSettledEra doubts all claims and load permits if a process begins to follow the store in an era that is not settled. The store may have
 // returned at any time until now, also after this process asked for its content. The caller must hold the lock.
 func (g *Gateway) checkSettledEra(now time.Time, revision fleet.Revision) {
 	if g.knownRevision == 0 && g.settledEra > 0 && g.settledEra < revision.Era() {
 		g.owners.DoubtClaims(now)
+		g.blockLoads(now)
 	}
 }
 
--- a/transport/gateway/era_test.go
+++ b/transport/gateway/era_test.go
@@ -7,8 +7,11 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/zinniaroute/zinniaroute/coordination/relay"
+	"github.com/zinniaroute/zinniaroute/document"
 	"github.com/zinniaroute/zinniaroute/platform"
+	"github.com/zinniaroute/zinniaroute/settings"
 	"github.com/zinniaroute/zinniaroute/state/fleet"
+	"github.com/zinniaroute/zinniaroute/transport/clock"
 )
 
 // A process starts while the store returns from an older copy, and asks for the content, or for a view of it, before the return.
@@ -37,3 +40,25 @@
 		assert.Check(t, g.owners.EraSettled(now.Add(wait)), test.name)
 	}
 }
+
+// A process that starts in an unsettled era does not know of loads whose permits the store has lost.
+func TestLoadsBeginBesideThoseOfAnEarlierEra(t *testing.T) {
+	for _, settled := range []bool{false, true} {
+		store, address := startStore(t)
+		store.Put(settledEraKey, []byte("1"))
+		store.ReturnFrom(store.Copy())
+		if settled {
+			store.Put(settledEraKey, []byte("2"))
+		}
+		s := settings.Gateway{Store: address}
+		s.Bounds.LoadWindow = document.NewDuration(10 * time.Second)
+		v := &simulatedVM{name: "vm-1"}
+		now := clock.Now()
+		v.startWith(now, s)
+		g := v.gateway
+		items, revision, err := g.store.List(t.Context(), "")
+		assert.NilError(t, err)
+		assert.NilError(t, g.applyStoreListing(now, now, items, revision))
+		assert.Equal(t, g.takeLoadPermit(t.Context(), "models", 1), settled)
+	}
+}
--- a/transport/gateway/membership_test.go
+++ b/transport/gateway/membership_test.go
@@ -48,7 +48,9 @@
 	now   time.Time
 }
 
-func startStoreVM(t *testing.T) *storeVM {
+// startStore starts a stand-in of the store and returns its address.
+func startStore(t *testing.T) (*metadata.Server, netip.AddrPort) {
+	t.Helper()
 	httpserve.DisableLibraryLog()
 	tasks, err := group.New(context.Background())
 	assert.NilError(t, err)
@@ -56,15 +58,20 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	store := metadata.NewServer()
+	store.Start(tasks, listener)
+	return store, netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func startStoreVM(t *testing.T) *storeVM {
+	t.Helper()
+	store, address := startStore(t)
 	store.Put(membersPrefix+"vm-1", []byte(`{"address":"127.0.0.1:1"}`))
 	store.Put(ownersPrefix+"r1", []byte(`{"vm":"vm-2","incarnation":"i-2","settled":true}`))
-	store.Start(tasks, listener)
 	now := clock.Now()
 	v := &simulatedVM{name: "vm-1"}
-	deployed := settings.Gateway{Store: netip.MustParseAddrPort(listener.Addr().String())}
+	deployed := settings.Gateway{Store: address}
 	deployed.Bounds.OwnerChangePause = document.NewDuration(3 * time.Second)
 	v.startWith(now, deployed)
-	v.gateway.tasks = tasks
 	s := &storeVM{v.gateway, t, store, now}
 	for range 2 {
 		s.list()
