Let answers of the store's stand-in be lost or late in the soak, while runners change owners

Change: a share of answers can be lost, and answers delayed after their call has taken effect; transactions have faults of their own, so that the watch goes on. In the soak a gateway is cut off from the store, which loses its key, while transactions of the others are carried out late or their answers are lost or late, and requests need new adapters (-soak.claims=false leaves that out).

--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -33,6 +33,7 @@
 	soakVMs          = flag.Int("soak.vms", 3, "number of VMs of the fault soak; each has three callers")
 	soakForms        = flag.Bool("soak.forms", true, "let runners answer in odd forms; builds before this flag break promises then")
 	soakKeys         = flag.Bool("soak.keys", true, "let callers need keys at odd seeds; builds before this flag pass keys on")
+	soakClaims       = flag.Bool("soak.claims", true, "let runners change owners while answers to claims are lost or late")
 	soakDuration     = flag.Duration("soak.time", 12*time.Second, "duration of the faults for each seed")
 	soakBefore       = flag.String("soak.before", "", "program of an earlier build, which every other gateway runs from each start on")
 )
@@ -69,7 +70,8 @@
 }
 
 // TestSoak checks the guarantees to callers under random faults, one after another and overlapping. Gateways are
-// killed, stopped, paused and restarted; the store is down or slow, loses responses, or returns from an older copy; links are cut, frozen or slow; gateways are cut off
+// killed, stopped, paused and restarted; the store is down or slow, loses responses, loses the keys of gateways while transactions or
+// their responses are lost or late, or returns from an older copy; links are cut, frozen or slow; gateways are cut off
 // from all runners;
 // runners truncate streams, fail requests, crash on one of them, name limits, leave, rest, are brittle, and start again with another
 // version of their software, answer in forms that look like refusals or like the answers to other requests, or that are no answers in
@@ -135,6 +137,9 @@
 	}
 	callers.Go(func() { s.departRunners(ctx, rand.New(rand.NewPCG(seed, 8<<32))) })
 	var partitions sync.WaitGroup
+	if *soakClaims {
+		partitions.Go(func() { s.disturbClaims(faultsContext, vms, rand.New(rand.NewPCG(seed, 14<<32))) })
+	}
 	partitions.Go(func() { s.partitionAtTimes(faultsContext, vms, rand.New(rand.NewPCG(seed, 9<<32))) })
 	returns, kills := rand.New(rand.NewPCG(seed, 1<<32)), rand.New(rand.NewPCG(seed, 7<<32))
 	for until := time.Now().Add(*soakDuration); time.Now().Before(until); {
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strings"
 	"sync"
 
@@ -25,6 +26,10 @@
 	Delay document.Duration `json:"delay,omitzero"`
 	// DropAnswers is the number of calls that take effect but whose connection is closed before the answer.
 	DropAnswers int `json:"dropAnswers,omitempty"`
+	// DropShare is the share of calls that take effect but whose connection is closed before the answer.
+	DropShare float64 `json:"dropShare,omitempty"`
+	// AnswerDelay delays each answer after its call has taken effect.
+	AnswerDelay document.Duration `json:"answerDelay,omitzero"`
 	// PathContains restricts the faults to paths that contain this text.
 	PathContains string `json:"only,omitempty"`
 	// Method restricts the faults to one HTTP method; empty means all.
@@ -81,7 +86,10 @@
 		group.Sleep(ctx, faults.Delay.Duration)
 	}
 	c.Next(ctx)
-	if faults.DropAnswers > 0 && s.consumeDrop() {
+	if faults.AnswerDelay.Duration > 0 {
+		group.Sleep(ctx, faults.AnswerDelay.Duration)
+	}
+	if faults.DropAnswers > 0 && s.consumeDrop() || rand.Float64() < faults.DropShare {
 		_ = c.GetConn().Close()
 	}
 }
--- a/standin/metadata/server.go
+++ b/standin/metadata/server.go
@@ -26,6 +26,8 @@
 // Server implements the HTTP API of the metadata store: ranges, watches, transactions and leases.
 type Server struct {
 	Faults fault.Injector
+	// Commits injects faults into transactions only.
+	Commits fault.Injector
 	// Received records the headers of all requests.
 	Received recorder.Headers
 
@@ -43,7 +45,7 @@
 	server.GET("/zinniaroute/kv-key", s.get)
 	server.GET("/zinniaroute/kv-range", s.list)
 	server.GET("/zinniaroute/kv-watch", s.watch)
-	server.POST("/zinniaroute/kv-txn", s.commit)
+	server.POST("/zinniaroute/kv-txn", s.Commits.Handle, s.commit)
 	server.POST("/zinniaroute/kv-lease", s.grant)
 	server.POST("/zinniaroute/kv-keep/:lease", s.renew)
 	server.DELETE("/zinniaroute/kv-lease-end/:lease", s.revoke)
