Tell an era of 0 that is settled from none

The store returns from an older copy for the first time, in a deployment whose eras count from 0; a process that starts then claims a runner as a free one without its wait, and orders it beside the owner whose claim the store has lost. Cause: the settled era 0 was never written, and zero stood for its absence, so that the first return went unnoticed by processes that start after it. Change: the key is written in era 0 too, and its presence is told by its revision. A store without the key is still that of a new deployment: a wait there would be seen by each caller of its first start. Open: a return from a copy that is older than the first mark, which is written within a second of the first start.

--- a/standin/metadata/server.go
+++ b/standin/metadata/server.go
@@ -62,6 +62,13 @@
 	c.Header("Store-Era", strconv.FormatUint(s.store.era, 10))
 }
 
+// SetEra sets the number of the present era, which is 1 at the start.
+func (s *Server) SetEra(era uint64) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	s.store.era = era
+}
+
 // Copy returns the present content, from which the store can return later.
 func (s *Server) Copy() Copy { return s.store.copy() }
 
--- a/transport/gateway/era.go
+++ b/transport/gateway/era.go
@@ -17,7 +17,8 @@
 )
 
 // settledEraKey is the key of the latest era of the store in which no VM acts any more on what the store has lost. A
-// process that starts in a later era cannot know when that began.
+// process that starts in a later era cannot know when that began. Eras may begin with zero; a store without the key is that of a
+// new deployment.
 const settledEraKey = "era"
 
 // beginEra begins a new era if a revision belongs to a later one than the known content: the store has returned from an
@@ -68,10 +69,10 @@
 	}
 }
 
-// checkSettledEra doubts all claims and load permits if a process begins to follow the store in an era that is not settled. The store may have
-// returned at any time until now, also after this process asked for its content. The caller must hold the lock.
+// checkSettledEra doubts all claims and load permits if a process begins to follow the store in an era that is not settled. The
+// store may have returned at any time until now, also after this process asked for its content. The caller must hold the lock.
 func (g *Gateway) checkSettledEra(now time.Time, revision fleet.Revision) {
-	if g.knownRevision == 0 && g.settledEra > 0 && g.settledEra < revision.Era() {
+	if g.knownRevision == 0 && g.settledEraRevision != 0 && g.settledEra < revision.Era() {
 		g.owners.DoubtClaims(now)
 		g.blockLoads(now)
 	}
@@ -85,7 +86,7 @@
 	}
 	g.mu.Lock()
 	era, revision := g.knownRevision.Era(), g.settledEraRevision
-	due := era > 0 && era != g.settledEra && g.owners.Registered() && g.owners.EraSettled(now)
+	due := (g.settledEraRevision == 0 || era != g.settledEra) && g.owners.Registered() && g.owners.EraSettled(now)
 	g.mu.Unlock()
 	if !due {
 		return
--- a/transport/gateway/era_test.go
+++ b/transport/gateway/era_test.go
@@ -62,3 +62,26 @@
 		assert.Equal(t, g.takeLoadPermit(t.Context(), "models", 1), settled)
 	}
 }
+
+// Eras count from 0. A process that starts after the first return must find that era 0 was the settled one.
+func TestFirstReturnGoesUnnoticedByAProcessThatStartsAfterIt(t *testing.T) {
+	store, address := startStore(t)
+	store.SetEra(0)
+	store.Put(membersPrefix+"vm-1", []byte(`{"address":"127.0.0.1:1"}`))
+	start := func() *Gateway {
+		v := &simulatedVM{name: "vm-1"}
+		now := clock.Now()
+		v.startWith(now, settings.Gateway{Store: address})
+		items, revision, err := v.gateway.store.List(t.Context(), "")
+		assert.NilError(t, err)
+		assert.NilError(t, v.gateway.applyStoreListing(now, now, items, revision))
+		return v.gateway
+	}
+	first := start()
+	assert.Assert(t, first.owners.EraSettled(clock.Now()), "the first process of a deployment waits")
+	first.markEraSettled(t.Context())
+	earlier := store.Copy()
+	store.Put(ownersPrefix+"r1", []byte(`{"vm":"vm-2","incarnation":"i-2","settled":true}`))
+	store.ReturnFrom(earlier)
+	assert.Check(t, !start().owners.EraSettled(clock.Now()), "it claims runners as free whose claims the store has lost")
+}
