--- a/coordination/ownership/tracker.go
+++ b/coordination/ownership/tracker.go
@@ -156,8 +156,8 @@
 }
 
 // SetClaim records a runner's claim, which this VM has learned of now, by whatever way, unless that revision or a later one
-// is known, and reports whether it did. The OrderDelay of an own claim begins now: the store has made the claim before, but
-// not necessarily when this VM asked for it.
+// is known, and reports whether it did. The order delay of an own claim that is not settled begins now: the store has made the
+// claim before, but not necessarily when this VM asked for it.
 func (t *Tracker) SetClaim(now time.Time, runner string, claim Claim) bool {
 	if claim.Revision <= t.claims[runner].Revision {
 		return false
@@ -246,8 +246,7 @@
 	Revision fleet.Revision
 	// FormerOwner is the former owner, which must not be a member again when the claim is written, or "".
 	FormerOwner string
-	// Settled reports that this VM may send orders as soon as it learns of the claim. Otherwise it waits for the whole
-	// OrderDelay first.
+	// Settled reports that this VM may send orders as soon as it learns of the claim. Otherwise it waits for the order delay.
 	Settled bool
 }
 
@@ -289,13 +288,13 @@
 	return PendingClaim{Runner: runner, Revision: claim.Revision, FormerOwner: claim.VM}, true
 }
 
-// orderDelay is the OrderDelay of a claim that is not settled: how long the former owner may still send orders
-// after the claim, plus the pause after its last order.
+// orderDelay is the time from when this VM learns of its claim until its first order, if the claim is not settled: how long the
+// former owner may still send orders after the claim, plus the pause after its last order.
 func (t *Tracker) orderDelay() time.Duration { return t.bounds.Validity + t.bounds.OwnerChangePause }
 
 // ownPendingClaim renews a claim that an earlier process of this VM wrote or that is being released, and settles a claim whose
-// delay is over. A
-// new process starts the whole delay again, because it can't know how much of it the earlier process has waited.
+// order delay is over. A new process starts the whole delay again, because it can't know how much of it the earlier process has
+// waited.
 func (t *Tracker) ownPendingClaim(now time.Time, runner string, claim knownClaim) (PendingClaim, bool) {
 	pending := PendingClaim{Runner: runner, Revision: claim.Revision}
 	if t.isOwn(claim.Claim) {
