Shorten the model of listings in the property test of ownership

Cause: a newcomer's reading of the diff: a clone by hand, and two functions without a comment. Change: maps.Clone, and the comments.

--- a/coordination/ownership/tracker_property_test.go
+++ b/coordination/ownership/tracker_property_test.go
@@ -126,11 +126,7 @@
 		members = append(members, vm)
 	}
 	slices.Sort(members)
-	claims := make(map[string]Claim, len(s.claims))
-	for runner, claim := range s.claims {
-		claims[runner] = claim
-	}
-	absent := maps.Clone(s.absent)
+	claims, absent := maps.Clone(s.claims), maps.Clone(s.absent)
 	tracker, era, settledEra, revision := v.tracker, s.era, s.settledEra, fleet.NewRevision(s.era, s.revision)
 	v.pending = append(v.pending, func(now time.Time) {
 		if era < v.era {
@@ -143,8 +139,8 @@
 			tracker.BeginEra(now)
 		}
 		v.era = era
-		for runner := range claims {
-			tracker.SetClaim(now, runner, claims[runner])
+		for runner, claim := range claims {
+			tracker.SetClaim(now, runner, claim)
 		}
 		v.setAbsent(now, absent)
 		for _, vm := range members {
@@ -168,6 +164,7 @@
 	})
 }
 
+// deliver applies the first parts of the pending listings.
 func (v *testVM) deliver(now time.Time, parts int) {
 	for _, apply := range v.pending[:parts] {
 		apply(now)
@@ -175,6 +172,7 @@
 	v.pending = v.pending[parts:]
 }
 
+// setAbsent records the runners that have no entry.
 func (v *testVM) setAbsent(now time.Time, absent map[string]bool) {
 	for runner := range absent {
 		if v.absentSince[runner].IsZero() {
